--- /dev/null
+++ b/src/bookkeeping/budget.rs
@@ -0,0 +1,59 @@
+//! A token bucket: a rate with bursts of about one second's worth.
+
+use crate::types::Time;
+use std::time::Duration;
+
+#[derive(Debug)]
+pub struct Budget {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    last: Time,
+    closed_until: Time,
+}
+
+impl Budget {
+    pub fn new(rate: f64, burst: f64) -> Budget {
+        let burst = burst.max(1.0);
+        Budget {
+            rate,
+            burst,
+            level: burst,
+            last: Time::default(),
+            closed_until: Time::default(),
+        }
+    }
+
+    fn refill(&mut self, now: Time) {
+        let gained = now.since(self.last).as_secs_f64() * self.rate;
+        self.level = (self.level + gained).min(self.burst);
+        self.last = self.last.max(now);
+    }
+
+    /// What may be spent now.
+    pub fn available(&mut self, now: Time) -> f64 {
+        self.refill(now);
+        if now < self.closed_until {
+            0.0
+        } else {
+            self.level
+        }
+    }
+
+    /// The share of a full bucket that is left.
+    pub fn share(&mut self, now: Time) -> f64 {
+        self.available(now) / self.burst
+    }
+
+    /// Spends; what was needed beyond the level is a debt that delays later spending.
+    pub fn spend(&mut self, now: Time, amount: f64) {
+        self.refill(now);
+        self.level -= amount;
+    }
+
+    /// The other side says that it is too much: others spend from the same budget.
+    pub fn back_off(&mut self, now: Time, pause: Duration) {
+        self.closed_until = self.closed_until.max(now.after(pause));
+        self.level = self.level.min(0.0);
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/ledger.rs
@@ -0,0 +1,380 @@
+//! Group commit of the leader's records: what changed is gathered and written in one
+//! transaction, one at a time, each conditional on the leader's key and on the versions of the
+//! records it replaces.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use super::records::{self, OverRecord};
+use crate::coordination::jobs::{Chunk, Job, JobPhase};
+use crate::protocol::state::{value, Change, Txn};
+use crate::protocol::users::JobState;
+use crate::types::{JobId, Stamp, Time};
+
+pub type Jobs = BTreeMap<JobId, Job>;
+
+/// A transaction on its way, and what it will mean once it is written.
+#[derive(Debug)]
+struct Batch {
+    txn: Txn,
+    chunks: Vec<(JobId, u32, u64)>,
+    finished: Vec<JobId>,
+    swept: Vec<(JobId, u32)>,
+}
+
+#[derive(Debug)]
+enum Flight {
+    /// Nothing is on its way.
+    Idle,
+    /// An answer is awaited.
+    Sent(Batch),
+    /// No answer came: the same transaction goes out again, as it can be carried out only once.
+    Repeat(Batch),
+}
+
+#[derive(Debug, Default, PartialEq)]
+pub struct Written {
+    /// Chunks that changed from unwritten to written.
+    pub chunks: Vec<(JobId, u32)>,
+    pub finished: Vec<JobId>,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Verdict {
+    Written(Written),
+    /// These jobs' records are gone: they were cancelled.
+    Conflict {
+        withdrawn: Vec<JobId>,
+    },
+    Deposed,
+    Again,
+}
+
+/// What a transaction may hold at the most, with room to spare for its own framing.
+const MAX_BYTES: usize = 44 * 1024;
+/// A finished job takes its first run records along; the rest are swept up later.
+const SWEPT_AT_ONCE: usize = 4;
+
+pub struct Ledger {
+    holder: Stamp,
+    urgent: VecDeque<(JobId, u32)>,
+    normal: VecDeque<(JobId, u32)>,
+    queued: BTreeMap<(JobId, u32), bool>,
+    finishing: BTreeSet<JobId>,
+    sweeping: BTreeSet<JobId>,
+    /// Records whose version must be read before they can be written again.
+    unsure: BTreeSet<(JobId, u32)>,
+    flight: Flight,
+}
+
+impl Ledger {
+    /// `holder` is the version of the leader's key, on which every write is conditional.
+    pub fn new(holder: Stamp) -> Ledger {
+        Ledger {
+            holder,
+            urgent: VecDeque::new(),
+            normal: VecDeque::new(),
+            queued: BTreeMap::new(),
+            finishing: BTreeSet::new(),
+            sweeping: BTreeSet::new(),
+            unsure: BTreeSet::new(),
+            flight: Flight::Idle,
+        }
+    }
+
+    pub fn holder(&self) -> Stamp {
+        self.holder
+    }
+
+    /// A chunk changed. Urgent are those that something waits for, such as a start.
+    pub fn changed(&mut self, job: JobId, chunk: u32, urgent: bool) {
+        let before = self.queued.get(&(job, chunk)).copied();
+        if urgent && before != Some(true) {
+            self.urgent.push_back((job, chunk));
+            self.queued.insert((job, chunk), true);
+        } else if before.is_none() {
+            self.normal.push_back((job, chunk));
+            self.queued.insert((job, chunk), false);
+        }
+    }
+
+    pub fn finish(&mut self, job: JobId) {
+        self.finishing.insert(job);
+    }
+
+    pub fn sweep(&mut self, job: JobId) {
+        self.sweeping.insert(job);
+    }
+
+    /// Takes the records whose versions have to be read.
+    pub fn take_unsure(&mut self) -> Vec<(JobId, u32)> {
+        std::mem::take(&mut self.unsure).into_iter().collect()
+    }
+
+    /// A record's version is known again.
+    pub fn reread(&mut self, jobs: &mut Jobs, job: JobId, chunk: u32, stamp: Stamp) {
+        if let Some(c) = jobs.get_mut(&job).and_then(|j| j.chunk_mut(chunk)) {
+            c.stamp = stamp;
+            c.unsure = false;
+            self.changed(job, chunk, true);
+        }
+    }
+
+    /// The version could not be read; it has to be tried again.
+    pub fn still_unsure(&mut self, job: JobId, chunk: u32) {
+        self.unsure.insert((job, chunk));
+    }
+
+    pub fn has_urgent(&self) -> bool {
+        !self.urgent.is_empty()
+            || !self.finishing.is_empty()
+            || matches!(self.flight, Flight::Repeat(_))
+    }
+
+    pub fn is_idle(&self) -> bool {
+        !matches!(self.flight, Flight::Sent(_))
+    }
+
+    /// Puts together the next transaction of at most `max_changes`, if there is one to send.
+    pub fn next_batch(&mut self, jobs: &mut Jobs, max_changes: usize) -> Option<Txn> {
+        match std::mem::replace(&mut self.flight, Flight::Idle) {
+            Flight::Sent(batch) => {
+                self.flight = Flight::Sent(batch);
+                return None;
+            }
+            Flight::Repeat(batch) => {
+                let txn = batch.txn.clone();
+                self.flight = Flight::Sent(batch);
+                return Some(txn);
+            }
+            Flight::Idle => {}
+        }
+        self.forget_swept(jobs);
+        let mut batch = Batch {
+            txn: Txn::default(),
+            chunks: Vec::new(),
+            finished: Vec::new(),
+            swept: Vec::new(),
+        };
+        batch.txn.require(records::HOLDER.to_owned(), self.holder);
+        let mut bytes = 0;
+        self.add_finished(jobs, max_changes, &mut batch, &mut bytes);
+        self.add_chunks(jobs, max_changes, &mut batch, &mut bytes);
+        self.add_swept(jobs, max_changes, &mut batch);
+        if batch.txn.changes.is_empty() {
+            return None;
+        }
+        let txn = batch.txn.clone();
+        self.flight = Flight::Sent(batch);
+        Some(txn)
+    }
+
+    fn add_finished(&mut self, jobs: &Jobs, max: usize, batch: &mut Batch, bytes: &mut usize) {
+        for id in self.finishing.clone() {
+            let Some(job) = jobs.get(&id).filter(|j| j.phase == JobPhase::Finishing) else {
+                self.finishing.remove(&id);
+                continue;
+            };
+            if batch.txn.changes.len() + 3 > max || *bytes > MAX_BYTES {
+                return;
+            }
+            self.finishing.remove(&id);
+            let over = OverRecord {
+                state: JobState::Done,
+                tasks: u64::from(job.total),
+            };
+            batch.txn.require(records::live_key(id), job.live);
+            batch
+                .txn
+                .changes
+                .push(Change::delete(records::live_key(id)));
+            batch
+                .txn
+                .changes
+                .push(Change::put(records::over_key(id), value(&over)));
+            *bytes += 200;
+            for number in 0..job.chunks.len().min(SWEPT_AT_ONCE) as u32 {
+                if batch.txn.changes.len() < max {
+                    batch
+                        .txn
+                        .changes
+                        .push(Change::delete(records::run_key(id, number)));
+                    batch.swept.push((id, number));
+                }
+            }
+            batch.finished.push(id);
+        }
+    }
+
+    fn add_chunks(&mut self, jobs: &Jobs, max: usize, batch: &mut Batch, bytes: &mut usize) {
+        let mut later = Vec::new();
+        while batch.txn.changes.len() < max && *bytes < MAX_BYTES {
+            let Some((id, number)) = self.urgent.pop_front().or_else(|| self.normal.pop_front())
+            else {
+                break;
+            };
+            let Some(urgent) = self.queued.remove(&(id, number)) else {
+                continue;
+            };
+            let Some(job) = jobs.get(&id) else { continue };
+            // The record of a job that is over goes as a whole.
+            if matches!(job.phase, JobPhase::Finishing | JobPhase::Sweeping) {
+                continue;
+            }
+            if job.chunk(number).is_some_and(|c| c.unsure) {
+                // It comes back once its version is known.
+                continue;
+            }
+            // The first record also counts what the others hold.
+            let with_first = number != 0 && job.chunk(0).is_some_and(|c| !c.unsure);
+            let numbers: &[u32] = if with_first { &[number, 0] } else { &[number] };
+            if batch.txn.changes.len() + numbers.len() > max {
+                later.push((id, number, urgent));
+                break;
+            }
+            for number in numbers.iter().copied() {
+                if batch
+                    .chunks
+                    .iter()
+                    .any(|(j, n, _)| (*j, *n) == (id, number))
+                {
+                    continue;
+                }
+                let (Some(chunk), Some(record)) = (job.chunk(number), job.record(number)) else {
+                    continue;
+                };
+                // What a cancelled job never had written it needs no record of.
+                if job.phase == JobPhase::Withdrawn && chunk.stamp == Stamp(0) {
+                    continue;
+                }
+                *bytes += record.size_estimate();
+                if job.phase == JobPhase::Active {
+                    // Nothing is booked after a cancellation.
+                    batch.txn.require(records::live_key(id), job.live);
+                }
+                batch.txn.require(records::run_key(id, number), chunk.stamp);
+                let key = records::run_key(id, number);
+                batch.txn.changes.push(Change::put(key, value(&record)));
+                batch.chunks.push((id, number, chunk.changes));
+            }
+        }
+        for (id, number, urgent) in later {
+            self.changed(id, number, urgent);
+        }
+    }
+
+    fn add_swept(&mut self, jobs: &Jobs, max: usize, batch: &mut Batch) {
+        for id in self.sweeping.clone() {
+            let Some(job) = jobs.get(&id).filter(|j| j.phase == JobPhase::Sweeping) else {
+                self.sweeping.remove(&id);
+                continue;
+            };
+            for (number, chunk) in job.chunks.iter().enumerate() {
+                let number = number as u32;
+                let known = chunk
+                    .as_ref()
+                    .is_some_and(|c| c.stamp != Stamp(0) || c.unsure);
+                if known {
+                    if batch.txn.changes.len() >= max {
+                        return;
+                    }
+                    batch
+                        .txn
+                        .changes
+                        .push(Change::delete(records::run_key(id, number)));
+                    batch.swept.push((id, number));
+                }
+            }
+        }
+    }
+
+    pub fn applied(&mut self, jobs: &mut Jobs, revision: Stamp, now: Time) -> Verdict {
+        let Flight::Sent(batch) = std::mem::replace(&mut self.flight, Flight::Idle) else {
+            return Verdict::Again;
+        };
+        let mut written = Written::default();
+        for (id, number, changes) in batch.chunks {
+            if let Some(chunk) = jobs.get_mut(&id).and_then(|j| j.chunk_mut(number)) {
+                chunk.stamp = revision;
+                chunk.written = changes;
+                written.chunks.push((id, number));
+            }
+        }
+        for (id, number) in batch.swept {
+            if let Some(slot) = jobs
+                .get_mut(&id)
+                .and_then(|j| j.chunks.get_mut(number as usize))
+            {
+                *slot = None;
+            }
+        }
+        for id in batch.finished {
+            if let Some(job) = jobs.get_mut(&id) {
+                job.enter(JobPhase::Sweeping, now);
+                self.sweeping.insert(id);
+                written.finished.push(id);
+            }
+        }
+        self.forget_swept(jobs);
+        Verdict::Written(written)
+    }
+
+    fn forget_swept(&mut self, jobs: &mut Jobs) {
+        let swept = |id: &JobId| {
+            jobs.get(id).is_none_or(|j| {
+                let unwritten = |c: &Chunk| c.stamp == Stamp(0) && !c.unsure;
+                j.phase == JobPhase::Sweeping && j.chunks.iter().flatten().all(|c| unwritten(c))
+            })
+        };
+        let gone: Vec<JobId> = self.sweeping.iter().copied().filter(swept).collect();
+        for id in gone {
+            self.sweeping.remove(&id);
+            jobs.remove(&id);
+        }
+    }
+
+    /// Conditions failed: nothing was written, at least not now.
+    pub fn conflict(&mut self, jobs: &mut Jobs, failed: &[String]) -> Verdict {
+        let Flight::Sent(batch) = std::mem::replace(&mut self.flight, Flight::Idle) else {
+            return Verdict::Again;
+        };
+        if failed.iter().any(|key| key == records::HOLDER) {
+            return Verdict::Deposed;
+        }
+        let mut withdrawn = Vec::new();
+        for key in failed {
+            if let Some(id) = records::parse_live(key) {
+                withdrawn.push(id);
+            } else if let Some((id, number)) = records::parse_run(key) {
+                // Only we write these: an earlier transaction, thought lost, was carried out.
+                if let Some(chunk) = jobs.get_mut(&id).and_then(|j| j.chunk_mut(number)) {
+                    chunk.unsure = true;
+                    self.unsure.insert((id, number));
+                }
+            }
+        }
+        self.put_back(batch);
+        Verdict::Conflict { withdrawn }
+    }
+
+    fn put_back(&mut self, batch: Batch) {
+        for (id, number, _) in batch.chunks {
+            self.changed(id, number, true);
+        }
+        self.finishing.extend(batch.finished);
+        self.sweeping.extend(batch.swept.iter().map(|(id, _)| *id));
+    }
+
+    /// Surely not carried out: its contents are gathered anew.
+    pub fn refused(&mut self) {
+        if let Flight::Sent(batch) = std::mem::replace(&mut self.flight, Flight::Idle) {
+            self.put_back(batch);
+        }
+    }
+
+    /// No answer: it may be carried out at any time, so only the very same may follow.
+    pub fn lost(&mut self) {
+        if let Flight::Sent(batch) = std::mem::replace(&mut self.flight, Flight::Idle) {
+            self.flight = Flight::Repeat(batch);
+        }
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/store.rs
@@ -0,0 +1,290 @@
+//! Requests to the state service: their order under the budget, and what their answers mean.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+use super::budget::Budget;
+use crate::protocol::state::{Applied, Failed, Grant, Granted, Item, News, Page, Txn};
+use crate::protocol::{decode, encode};
+use crate::transport::{CallError, CallId, Response};
+use crate::types::{LeaseId, Stamp, Time};
+
+/// Who goes first when the budget is short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Class {
+    Lease,
+    User,
+    Booking,
+    Read,
+}
+
+#[derive(Clone, Debug)]
+pub enum Ask {
+    Get(String),
+    List {
+        prefix: String,
+        after: String,
+        limit: u32,
+    },
+    Txn(Txn),
+    Grant(Duration),
+    Extend(LeaseId),
+    End(LeaseId),
+    Watch {
+        prefix: String,
+        after: Stamp,
+        hold: Duration,
+    },
+}
+
+#[derive(Debug)]
+pub enum Outcome {
+    Item(Option<Item>),
+    Page(Page),
+    Applied(Stamp),
+    Conflict(Vec<String>),
+    Granted(LeaseId),
+    Extended,
+    /// The lease is no more.
+    LeaseGone,
+    News(News),
+    /// The watch began too far back.
+    TooOld,
+    /// Surely not carried out; again later.
+    Refused,
+    /// May have been carried out, or may yet be.
+    Unknown,
+    /// Refused for what it says; repeating it is of no use.
+    Invalid,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AskId(pub u64);
+
+struct Waiting {
+    id: AskId,
+    ask: Ask,
+    limit: Duration,
+    until: Time,
+}
+
+/// A request ready to be sent.
+pub struct Outgoing {
+    pub id: AskId,
+    pub method: &'static str,
+    pub target: String,
+    pub body: Vec<u8>,
+    pub limit: Duration,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Get,
+    List,
+    Txn,
+    Grant,
+    Lease,
+    Watch,
+}
+
+pub struct Store {
+    next: u64,
+    queues: BTreeMap<Class, VecDeque<Waiting>>,
+    requests: Budget,
+    pub writes: Budget,
+    sent: HashMap<AskId, Kind>,
+    calls: HashMap<CallId, AskId>,
+    /// When the service last answered properly, and when it last did not.
+    pub good_at: Option<Time>,
+    pub bad_at: Option<Time>,
+}
+
+/// A 429 means that the nodes together spend too much.
+const PAUSE: Duration = Duration::from_millis(200);
+
+impl Store {
+    /// `rps` and `write_rps` are this node's share of the budgets.
+    pub fn new(rps: f64, write_rps: f64) -> Store {
+        Store {
+            next: 0,
+            queues: BTreeMap::new(),
+            requests: Budget::new(rps, rps),
+            writes: Budget::new(write_rps, write_rps),
+            sent: HashMap::new(),
+            calls: HashMap::new(),
+            good_at: None,
+            bad_at: None,
+        }
+    }
+
+    /// Queues a request. `limit` is how long an answer is awaited once it is sent; what can't be
+    /// sent within that time is refused.
+    pub fn ask(&mut self, now: Time, class: Class, ask: Ask, limit: Duration) -> AskId {
+        self.next += 1;
+        let id = AskId(self.next);
+        let until = now.after(limit);
+        let waiting = Waiting {
+            id,
+            ask,
+            limit,
+            until,
+        };
+        self.queues.entry(class).or_default().push_back(waiting);
+        id
+    }
+
+    /// Takes the next request that the budget allows; `Err` holds one that waited too long.
+    pub fn next_outgoing(&mut self, now: Time) -> Option<Result<Outgoing, AskId>> {
+        for (class, queue) in &mut self.queues {
+            let Some(first) = queue.front() else { continue };
+            let writes = match &first.ask {
+                Ask::Txn(txn) => txn.changes.len() as f64,
+                _ => 0.0,
+            };
+            let overdue = now > first.until;
+            // The lease may run the account into debt: without it all the rest is lost.
+            let allowed = *class == Class::Lease
+                || (self.requests.available(now) >= 1.0
+                    && (writes == 0.0 || self.writes.available(now) >= writes.min(1.0)));
+            if !overdue && !allowed {
+                return None;
+            }
+            let Some(first) = queue.pop_front() else {
+                continue;
+            };
+            if overdue {
+                return Some(Err(first.id));
+            }
+            self.requests.spend(now, 1.0);
+            self.writes.spend(now, writes);
+            return Some(Ok(self.render(first)));
+        }
+        None
+    }
+
+    pub fn has_waiting(&self) -> bool {
+        self.queues.values().any(|q| !q.is_empty())
+    }
+
+    fn render(&mut self, waiting: Waiting) -> Outgoing {
+        let mut limit = waiting.limit;
+        let (kind, method, target, body) = match &waiting.ask {
+            Ask::Get(key) => (Kind::Get, "GET", format!("/kv/{key}"), Vec::new()),
+            Ask::List {
+                prefix,
+                after,
+                limit,
+            } => {
+                let mut target = format!("/kv?prefix={prefix}&page={limit}");
+                if !after.is_empty() {
+                    target.push_str("&after=");
+                    target.push_str(after);
+                }
+                (Kind::List, "GET", target, Vec::new())
+            }
+            Ask::Txn(txn) => (Kind::Txn, "POST", "/txn".to_owned(), encode(txn)),
+            Ask::Grant(ttl) => {
+                let ttl_ms = ttl.as_millis() as u64;
+                let body = encode(&Grant { ttl_ms });
+                (Kind::Grant, "POST", "/grants".to_owned(), body)
+            }
+            Ask::Extend(lease) => (
+                Kind::Lease,
+                "POST",
+                format!("/grants/{lease}/extend"),
+                Vec::new(),
+            ),
+            Ask::End(lease) => (
+                Kind::Lease,
+                "DELETE",
+                format!("/grants/{lease}"),
+                Vec::new(),
+            ),
+            Ask::Watch {
+                prefix,
+                after,
+                hold,
+            } => {
+                limit += *hold;
+                let hold_ms = hold.as_millis();
+                let target = format!("/changes?prefix={prefix}&after={after}&holdMs={hold_ms}");
+                (Kind::Watch, "GET", target, Vec::new())
+            }
+        };
+        self.sent.insert(waiting.id, kind);
+        Outgoing {
+            id: waiting.id,
+            method,
+            target,
+            body,
+            limit,
+        }
+    }
+
+    pub fn sent_as(&mut self, id: AskId, call: CallId) {
+        self.calls.insert(call, id);
+    }
+
+    pub fn is_own(&self, call: CallId) -> bool {
+        self.calls.contains_key(&call)
+    }
+
+    /// Says what the answer to a call means, if the call was one of the store's.
+    pub fn answered(
+        &mut self,
+        now: Time,
+        call: CallId,
+        result: Result<Response, CallError>,
+    ) -> Option<(AskId, Outcome)> {
+        let id = self.calls.remove(&call)?;
+        let kind = self.sent.remove(&id)?;
+        let outcome = self.interpret(now, kind, result);
+        match outcome {
+            // A watch that was cut short says nothing: it waits quietly through an outage.
+            Outcome::Unknown if kind == Kind::Watch => {}
+            Outcome::Refused | Outcome::Unknown => self.bad_at = Some(now),
+            _ => self.good_at = Some(now),
+        }
+        Some((id, outcome))
+    }
+
+    fn interpret(&mut self, now: Time, kind: Kind, result: Result<Response, CallError>) -> Outcome {
+        let response = match result {
+            Ok(response) => response,
+            Err(CallError::NotSent) => return Outcome::Refused,
+            Err(CallError::Lost) => return Outcome::Unknown,
+        };
+        let body = &response.body[..];
+        let parsed = match (response.status, kind) {
+            (200, Kind::Get) => decode(body).map(|i| Outcome::Item(Some(i))),
+            (404, Kind::Get) => Ok(Outcome::Item(None)),
+            (200, Kind::List) => decode(body).map(Outcome::Page),
+            (200, Kind::Txn) => decode(body).map(|a: Applied| Outcome::Applied(a.revision)),
+            (409, Kind::Txn) => decode(body).map(|f: Failed| Outcome::Conflict(f.failed)),
+            (200, Kind::Grant) => decode(body).map(|g: Granted| Outcome::Granted(g.lease)),
+            (200, Kind::Lease) => Ok(Outcome::Extended),
+            (404, Kind::Lease) => Ok(Outcome::LeaseGone),
+            (200, Kind::Watch) => decode(body).map(|n: News| Outcome::News(n)),
+            (410, Kind::Watch) => Ok(Outcome::TooOld),
+            (429, _) => {
+                log::debug!("state service: over the budget");
+                self.requests.back_off(now, PAUSE);
+                self.writes.back_off(now, PAUSE);
+                Ok(Outcome::Refused)
+            }
+            (503, _) => Ok(Outcome::Refused),
+            (400, _) => {
+                log::warn!("state service: 400 {}", String::from_utf8_lossy(body));
+                Ok(Outcome::Invalid)
+            }
+            (status, _) => {
+                log::warn!("state service: unexpected status {status}");
+                Ok(Outcome::Unknown)
+            }
+        };
+        parsed.unwrap_or_else(|e| {
+            log::warn!("state service: answer not understood: {e}");
+            Outcome::Unknown
+        })
+    }
+}
--- /dev/null
+++ b/src/coordination/hosts.rs
@@ -0,0 +1,225 @@
+//! A machine's life, and what is booked on it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use super::jobs::Resources;
+use crate::protocol::workers::{Report, TaskReport, TaskState as Reported};
+use crate::types::{Attempt, HostName, JobId, Session, TaskId, Term, Tick, Time};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// Rented or listed, but its worker has not reported to this leader.
+    Expected,
+    /// Reports come.
+    Up,
+    /// Reports have stopped.
+    Silent,
+    /// The cloud has been told to take it back; there is no way back from here.
+    Releasing,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cordon {
+    /// Idle for too long; to be returned.
+    Idle,
+    /// The cloud takes it back.
+    Notice,
+    /// It fails tasks.
+    Sick,
+    /// It has been silent, or never came up.
+    Lost,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BookingPhase {
+    /// The booking is not known to be written; no `run` may leave.
+    Recording,
+    /// Written; `run` may be sent, and may have been.
+    Ordered,
+    /// The worker has reported it alive.
+    Present,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopWhy {
+    Withdrawn,
+    Drained,
+    Preempted,
+}
+
+#[derive(Clone, Debug)]
+pub struct Booking {
+    pub attempt: Attempt,
+    pub session: Session,
+    pub need: Resources,
+    pub phase: BookingPhase,
+    /// The change of its chunk that holds the booking.
+    pub change: u64,
+    /// A `run` of it may have left, under this leader or an earlier one.
+    pub sent: bool,
+    /// The last report in whose answer `run` went out.
+    pub answered: Tick,
+    pub stop: Option<StopWhy>,
+    pub saving: bool,
+    pub fetching: bool,
+    pub since: Time,
+    pub started: Option<Time>,
+}
+
+/// An attempt that ended and is still in the worker's reports.
+#[derive(Clone, Copy, Debug)]
+pub struct Leftover {
+    /// The change of its chunk that holds the outcome; `clear` waits for it.
+    pub change: u64,
+}
+
+#[derive(Debug)]
+pub struct Host {
+    pub name: HostName,
+    pub kind: Option<usize>,
+    pub zone: String,
+    pub spot: bool,
+    pub address: Option<SocketAddr>,
+    pub life: Life,
+    pub cordon: Option<Cordon>,
+    pub session: Session,
+    pub tick: Tick,
+    /// The highest token its worker has seen, by its own word.
+    pub token: Term,
+    /// When this leader first knew of it, and when it last heard from it.
+    pub known_at: Time,
+    pub heard_at: Time,
+    pub rented_at: Time,
+    pub up_at: Option<Time>,
+    pub gone_by: Option<Time>,
+    pub bookings: BTreeMap<TaskId, Booking>,
+    pub leftovers: BTreeMap<(TaskId, Attempt), Leftover>,
+    /// Direct `run`s without an answer: each may still be executed, even minutes from now.
+    pub unanswered: BTreeMap<(TaskId, Attempt), u32>,
+    pub used: Resources,
+    pub idle_since: Option<Time>,
+    pub failed_jobs: BTreeMap<JobId, Time>,
+    pub failures: u32,
+    pub images: BTreeSet<String>,
+    /// A direct command is on its way; the next one waits for its answer.
+    pub commanding: bool,
+    /// A direct command got no answer: nothing more goes there until the next report.
+    pub doubted: bool,
+    /// When the cloud's list first called it running.
+    pub running_since: Option<Time>,
+}
+
+impl Host {
+    pub fn new(name: HostName, now: Time) -> Host {
+        Host {
+            name,
+            kind: None,
+            zone: String::new(),
+            spot: false,
+            address: None,
+            life: Life::Expected,
+            cordon: None,
+            session: Session(0),
+            tick: Tick(0),
+            token: Term(0),
+            known_at: now,
+            heard_at: now,
+            rented_at: now,
+            up_at: None,
+            gone_by: None,
+            bookings: BTreeMap::new(),
+            leftovers: BTreeMap::new(),
+            unanswered: BTreeMap::new(),
+            used: Resources::default(),
+            idle_since: Some(now),
+            failed_jobs: BTreeMap::new(),
+            failures: 0,
+            images: BTreeSet::new(),
+            commanding: false,
+            doubted: false,
+            running_since: None,
+        }
+    }
+
+    /// The one place where a machine's life changes.
+    pub fn enter(&mut self, life: Life) {
+        if self.life != life && self.life != Life::Releasing {
+            log::debug!("{}: {:?} -> {life:?}", self.name, self.life);
+            self.life = life;
+        }
+    }
+
+    /// Closes it for new tasks. The first reason stands, save that a worse one replaces `Idle`.
+    pub fn cordon(&mut self, why: Cordon) {
+        if self.cordon.is_none() || self.cordon == Some(Cordon::Idle) {
+            log::debug!("{}: cordoned, {why:?}", self.name);
+            self.cordon = Some(why);
+        }
+    }
+
+    /// True if the report is newer than all that was heard before; older ones count for nothing.
+    pub fn is_news(&self, report: &Report) -> bool {
+        (report.session, report.tick) > (self.session, self.tick)
+    }
+
+    pub fn book(&mut self, task: TaskId, booking: Booking) {
+        self.used.add(&booking.need);
+        self.idle_since = None;
+        self.bookings.insert(task, booking);
+    }
+
+    pub fn unbook(&mut self, task: TaskId, now: Time) -> Option<Booking> {
+        let booking = self.bookings.remove(&task)?;
+        self.used.remove(&booking.need);
+        if self.bookings.is_empty() {
+            self.used = Resources::default();
+            self.idle_since = Some(now);
+        }
+        Some(booking)
+    }
+
+    pub fn is_unanswered(&self, task: TaskId, attempt: Attempt) -> bool {
+        self.unanswered.contains_key(&(task, attempt))
+    }
+
+    /// A direct `run` got its answer, or surely never left.
+    pub fn answered(&mut self, task: TaskId, attempt: Attempt) {
+        if let Some(count) = self.unanswered.get_mut(&(task, attempt)) {
+            *count -= 1;
+            if *count == 0 {
+                self.unanswered.remove(&(task, attempt));
+            }
+        }
+    }
+
+    /// Whether the absence of a task from a report proves that it is not there and can't come:
+    /// older leaders' late commands are fenced, and none of ours is still under way.
+    pub fn proves_absence(
+        &self,
+        task: TaskId,
+        booking: &Booking,
+        token: Term,
+        term: Term,
+        tick: Tick,
+        own_report: bool,
+    ) -> bool {
+        if !booking.sent {
+            return true;
+        }
+        let by_answer = booking.answered == Tick(0) || (own_report && tick > booking.answered);
+        token == term && by_answer && !self.is_unanswered(task, booking.attempt)
+    }
+}
+
+impl Booking {
+    /// Takes in what the worker says of it.
+    pub fn seen(&mut self, reported: &TaskReport, now: Time) {
+        self.phase = BookingPhase::Present;
+        self.saving = reported.state == Reported::Saving;
+        self.fetching = reported.state == Reported::Fetching;
+        if !self.fetching {
+            self.started.get_or_insert(now);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/jobs.rs
@@ -0,0 +1,427 @@
+//! Jobs as the leader knows them: which tasks wait, which are booked where, which are done.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::bookkeeping::records::{ChunkRecord, JobRecord};
+use crate::protocol::users::JobSpec;
+use crate::types::{Attempt, HostName, JobId, Session, Stamp, Time};
+
+/// What a task takes of its machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Resources {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+/// Sums of decimals are not exact; this much is forgiven.
+const SLACK: f64 = 1e-6;
+
+impl Resources {
+    pub fn fits(&self, room: &Resources) -> bool {
+        self.cpus <= room.cpus + SLACK
+            && self.gpus <= room.gpus + SLACK
+            && self.memory_gb <= room.memory_gb + SLACK
+    }
+
+    pub fn add(&mut self, other: &Resources) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.memory_gb += other.memory_gb;
+    }
+
+    pub fn remove(&mut self, other: &Resources) {
+        self.cpus = (self.cpus - other.cpus).max(0.0);
+        self.gpus = (self.gpus - other.gpus).max(0.0);
+        self.memory_gb = (self.memory_gb - other.memory_gb).max(0.0);
+    }
+
+    pub fn minus(&self, other: &Resources) -> Resources {
+        let mut rest = *self;
+        rest.remove(other);
+        rest
+    }
+
+    /// How many of `self` fit into `room`.
+    pub fn times_in(&self, room: &Resources) -> u64 {
+        let times = |need: f64, have: f64| {
+            if need > 0.0 {
+                (have + SLACK) / need
+            } else {
+                1e6
+            }
+        };
+        let least = times(self.cpus, room.cpus)
+            .min(times(self.gpus, room.gpus))
+            .min(times(self.memory_gb, room.memory_gb));
+        least.max(0.0) as u64
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobPhase {
+    /// Accepted; its tasks are placed as they can be.
+    Active,
+    /// All tasks are done; the final record is on its way.
+    Finishing,
+    /// Cancelled, or otherwise over in the records; bookings remain until they are proven ended.
+    Withdrawn,
+    /// Over with nothing booked; its run records are swept up.
+    Sweeping,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum TaskState {
+    /// Not placed; attempts up to `last` were used.
+    Waiting {
+        last: Attempt,
+    },
+    Booked {
+        host: HostName,
+        attempt: Attempt,
+        session: Session,
+    },
+    Done,
+}
+
+#[derive(Debug)]
+pub struct Chunk {
+    pub tasks: Vec<TaskState>,
+    /// The version of its record; 0 while there is none.
+    pub stamp: Stamp,
+    /// Counts changes, and says up to which one the record is known to be written.
+    pub changes: u64,
+    pub written: u64,
+    /// A lost answer left the record's version unknown; it must be read first.
+    pub unsure: bool,
+}
+
+#[derive(Debug)]
+pub struct Job {
+    pub id: JobId,
+    /// Gone once a job is over: then only `need` and `team` are left, from the run records.
+    pub spec: Option<Box<JobSpec>>,
+    /// Version of the job's record, which orders the arrivals.
+    pub live: Stamp,
+    pub at_ms: u64,
+    pub team: String,
+    pub need: Resources,
+    pub phase: JobPhase,
+    pub chunk_size: u32,
+    pub chunks: Vec<Option<Box<Chunk>>>,
+    /// Tasks from here on have never been touched.
+    fresh: u32,
+    retry: BTreeSet<u32>,
+    pub total: u32,
+    pub done: u32,
+    pub booked: u32,
+    /// Its tasks wait until then, after failures.
+    pub not_before: Time,
+    pub failures: u32,
+    pub failed_on: BTreeSet<HostName>,
+    pub withdrawn_at: Option<Time>,
+}
+
+impl Job {
+    pub fn new(record: JobRecord, live: Stamp) -> Job {
+        let JobRecord { spec, at_ms, chunk } = record;
+        let chunk_size = chunk.max(1);
+        let total = spec.tasks as u32;
+        Job {
+            id: spec.id,
+            live,
+            at_ms,
+            team: spec.team.clone(),
+            need: Resources {
+                cpus: spec.cpus.0,
+                gpus: spec.gpus.0,
+                memory_gb: spec.memory_gb.0,
+            },
+            phase: JobPhase::Active,
+            chunk_size,
+            chunks: (0..total.div_ceil(chunk_size)).map(|_| None).collect(),
+            fresh: 0,
+            retry: BTreeSet::new(),
+            total,
+            done: 0,
+            booked: 0,
+            not_before: Time::default(),
+            failures: 0,
+            failed_on: BTreeSet::new(),
+            withdrawn_at: None,
+            spec: Some(Box::new(spec)),
+        }
+    }
+
+    /// A job of which only run records are left: it was cancelled under an earlier leader.
+    pub fn orphan(id: JobId, record: &ChunkRecord, now: Time) -> Job {
+        Job {
+            id,
+            spec: None,
+            live: Stamp(0),
+            at_ms: 0,
+            team: record.team.clone(),
+            need: Resources {
+                cpus: record.cpus,
+                gpus: record.gpus,
+                memory_gb: record.mem,
+            },
+            phase: JobPhase::Withdrawn,
+            chunk_size: record.size.max(1),
+            chunks: Vec::new(),
+            fresh: 0,
+            retry: BTreeSet::new(),
+            total: 0,
+            done: 0,
+            booked: 0,
+            not_before: Time::default(),
+            failures: 0,
+            failed_on: BTreeSet::new(),
+            withdrawn_at: Some(now),
+        }
+    }
+
+    /// The one place where a job changes its phase.
+    pub fn enter(&mut self, phase: JobPhase, now: Time) {
+        log::debug!("{}: {:?} -> {phase:?}", self.id, self.phase);
+        self.phase = phase;
+        if phase == JobPhase::Withdrawn {
+            self.withdrawn_at.get_or_insert(now);
+        }
+    }
+
+    /// Takes in a run record; returns the bookings it holds.
+    pub fn load(
+        &mut self,
+        number: u32,
+        record: &ChunkRecord,
+        stamp: Stamp,
+    ) -> Vec<(u32, Attempt, HostName, Session)> {
+        let at = number as usize;
+        if self.spec.is_none() && at >= self.chunks.len() && at < 100_000 {
+            self.chunks.resize_with(at + 1, || None);
+        }
+        if at >= self.chunks.len() {
+            log::error!("{}: run record {number} lies beyond the job", self.id);
+            return Vec::new();
+        }
+        let length = self.chunk_length(number);
+        let mut tasks = vec![TaskState::Waiting { last: Attempt(0) }; length as usize];
+        let mut set = |offset: u32, state: TaskState| {
+            if let Some(task) = tasks.get_mut(offset as usize) {
+                *task = state;
+            }
+        };
+        for (offset, last) in &record.tried {
+            set(*offset, TaskState::Waiting { last: *last });
+        }
+        for (first, count) in &record.done {
+            for offset in *first..first.saturating_add(*count).min(length) {
+                set(offset, TaskState::Done);
+            }
+        }
+        let first = number * self.chunk_size;
+        let mut bookings = Vec::new();
+        for (offset, attempt, host, session) in &record.booked {
+            let (attempt, session) = (*attempt, *session);
+            if *offset < length {
+                set(
+                    *offset,
+                    TaskState::Booked {
+                        host: host.clone(),
+                        attempt,
+                        session,
+                    },
+                );
+                bookings.push((first + offset, attempt, host.clone(), session));
+            }
+        }
+        for (offset, task) in tasks.iter().enumerate() {
+            match task {
+                TaskState::Waiting { .. } => {
+                    self.retry.insert(first + offset as u32);
+                }
+                TaskState::Booked { .. } => self.booked += 1,
+                TaskState::Done => self.done += 1,
+            }
+        }
+        self.chunks[at] = Some(Box::new(Chunk {
+            tasks,
+            stamp,
+            changes: 0,
+            written: 0,
+            unsure: false,
+        }));
+        bookings
+    }
+
+    /// After all run records are in: chunks without one hold untouched tasks.
+    pub fn loaded(&mut self) {
+        if self.phase != JobPhase::Active {
+            self.retry.clear();
+            return;
+        }
+        // The untouched ones at the end stay a range; gaps before them are rare.
+        let tail = self
+            .chunks
+            .iter()
+            .rposition(Option::is_some)
+            .map_or(0, |c| c + 1);
+        for number in 0..tail as u32 {
+            if self.chunks[number as usize].is_none() {
+                let first = number * self.chunk_size;
+                self.retry.extend(first..first + self.chunk_length(number));
+            }
+        }
+        self.fresh = (tail as u32 * self.chunk_size).min(self.total);
+    }
+
+    fn chunk_length(&self, number: u32) -> u32 {
+        if self.spec.is_none() {
+            return self.chunk_size;
+        }
+        let first = number * self.chunk_size;
+        self.chunk_size.min(self.total.saturating_sub(first))
+    }
+
+    pub fn chunk_of(&self, index: u32) -> u32 {
+        index / self.chunk_size
+    }
+
+    pub fn waiting(&self) -> u32 {
+        if self.phase == JobPhase::Active {
+            self.retry.len() as u32 + (self.total - self.fresh)
+        } else {
+            0
+        }
+    }
+
+    pub fn first_waiting(&self) -> Option<u32> {
+        let fresh = (self.fresh < self.total).then_some(self.fresh);
+        self.retry.first().copied().or(fresh)
+    }
+
+    pub fn task(&self, index: u32) -> Option<&TaskState> {
+        let chunk = self.chunks.get(self.chunk_of(index) as usize)?.as_ref()?;
+        chunk.tasks.get((index % self.chunk_size) as usize)
+    }
+
+    pub fn chunk(&self, number: u32) -> Option<&Chunk> {
+        self.chunks.get(number as usize)?.as_deref()
+    }
+
+    pub fn chunk_mut(&mut self, number: u32) -> Option<&mut Chunk> {
+        self.chunks.get_mut(number as usize)?.as_deref_mut()
+    }
+
+    /// The one place where a task changes its state. Returns the chunk that has to be written.
+    pub fn set_task(&mut self, index: u32, state: TaskState) -> Option<u32> {
+        let number = self.chunk_of(index);
+        let length = self.chunk_length(number);
+        let slot = self.chunks.get_mut(number as usize)?;
+        let chunk = slot.get_or_insert_with(|| {
+            Box::new(Chunk {
+                tasks: vec![TaskState::Waiting { last: Attempt(0) }; length as usize],
+                stamp: Stamp(0),
+                changes: 0,
+                written: 0,
+                unsure: false,
+            })
+        });
+        let task = chunk.tasks.get_mut((index % self.chunk_size) as usize)?;
+        match task {
+            TaskState::Waiting { .. } if index == self.fresh => self.fresh += 1,
+            TaskState::Waiting { .. } => {
+                self.retry.remove(&index);
+            }
+            TaskState::Booked { .. } => self.booked -= 1,
+            // Done is for ever.
+            TaskState::Done => return None,
+        }
+        match &state {
+            TaskState::Waiting { .. } => {
+                self.retry.insert(index);
+            }
+            TaskState::Booked { .. } => self.booked += 1,
+            TaskState::Done => self.done += 1,
+        }
+        *task = state;
+        chunk.changes += 1;
+        Some(number)
+    }
+
+    pub fn last_attempt(&self, index: u32) -> Attempt {
+        match self.task(index) {
+            Some(TaskState::Waiting { last }) => *last,
+            Some(TaskState::Booked { attempt, .. }) => *attempt,
+            Some(TaskState::Done) | None => Attempt(0),
+        }
+    }
+
+    pub fn record(&self, number: u32) -> Option<ChunkRecord> {
+        let chunk = self.chunk(number)?;
+        let mut record = ChunkRecord {
+            first: number * self.chunk_size,
+            size: self.chunk_size,
+            team: self.team.clone(),
+            cpus: self.need.cpus,
+            gpus: self.need.gpus,
+            mem: self.need.memory_gb,
+            ..ChunkRecord::default()
+        };
+        for (offset, task) in chunk.tasks.iter().enumerate() {
+            let offset = offset as u32;
+            match task {
+                TaskState::Waiting { last: Attempt(0) } => {}
+                TaskState::Waiting { last } => record.tried.push((offset, *last)),
+                TaskState::Booked {
+                    host,
+                    attempt,
+                    session,
+                } => {
+                    record
+                        .booked
+                        .push((offset, *attempt, host.clone(), *session));
+                }
+                TaskState::Done => match record.done.last_mut() {
+                    Some((first, count)) if *first + *count == offset => *count += 1,
+                    _ => record.done.push((offset, 1)),
+                },
+            }
+        }
+        if number == 0 && self.chunks.len() > 1 {
+            let booked = record.booked.len() as u64;
+            record.rest = (
+                u64::from(self.done) - record.done_count(),
+                u64::from(self.booked) - booked,
+            );
+        }
+        Some(record)
+    }
+
+    pub fn estimate(&self) -> f64 {
+        self.spec.as_ref().map_or(30.0, |s| s.estimate_s.0.max(1.0))
+    }
+
+    /// When it should be complete, by the time of day.
+    pub fn due_ms(&self) -> Option<f64> {
+        let spec = self.spec.as_ref()?;
+        spec.deadline_s.map(|d| self.at_ms as f64 + d.0 * 1000.0)
+    }
+
+    /// A task failed: the job waits longer each time, but is never given up.
+    pub fn failed(&mut self, host: &HostName, now: Time) {
+        self.failures += 1;
+        self.failed_on.insert(host.clone());
+        if self.suspect() {
+            let pause = Duration::from_secs(1) * 2u32.pow(self.failures.min(9).saturating_sub(4));
+            self.not_before = now.after(pause.min(Duration::from_secs(30)));
+        }
+    }
+
+    /// Fails wherever it is tried and never succeeded: most likely the job's own mistake.
+    pub fn suspect(&self) -> bool {
+        self.done == 0 && self.failed_on.len() >= 3
+    }
+}
--- /dev/null
+++ b/src/coordination/leadership.rs
@@ -0,0 +1,287 @@
+//! Who leads. The leader's key hangs on a lease of the state service; winning the key and raising
+//! the term is one transaction, and the term is the fencing token.
+
+use std::time::Duration;
+
+use crate::bookkeeping::records::{HolderRecord, TermRecord, HOLDER, TERM};
+use crate::bookkeeping::store::Outcome;
+use crate::protocol::state::{value, Change, Txn};
+use crate::types::{LeaseId, Stamp, Term, Time};
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Role {
+    /// Someone else leads, or nobody does yet.
+    Following,
+    /// The key is free; a lease to hang it on is being asked for.
+    Granting { term: Term, term_stamp: Stamp },
+    /// The transaction that wins the key is on its way.
+    Claiming { lease: LeaseId, term: Term },
+    Leading {
+        lease: LeaseId,
+        term: Term,
+        stamp: Stamp,
+    },
+}
+
+/// Which request of the election an outcome belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    Read,
+    Grant,
+    Claim,
+    Renew,
+    End,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Wish {
+    /// Read the keys below `lead/`.
+    Read,
+    Grant(Duration),
+    Claim(Txn),
+    Renew(LeaseId),
+    /// End the lease of a process that is surely dead, or our own that is not needed.
+    End(LeaseId),
+    /// Begin to lead.
+    Lead {
+        term: Term,
+        stamp: Stamp,
+    },
+    StepDown,
+}
+
+/// What a read of the keys below `lead/` showed.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    pub holder: Option<(HolderRecord, Stamp)>,
+    pub term: Option<(Term, Stamp)>,
+}
+
+/// Clocks of different machines drift apart by at most 0.05%; this is well beyond that.
+const DRIFT: f64 = 0.99;
+const READ_EVERY: Duration = Duration::from_millis(400);
+const READ_LIMIT: Duration = Duration::from_millis(1500);
+
+pub struct Leadership {
+    node: String,
+    incarnation: u64,
+    ttl: Duration,
+    pub role: Role,
+    /// The highest term seen anywhere, and who leads it, if known.
+    pub term: Term,
+    pub leader: Option<String>,
+    valid_until: Time,
+    renewed_at: Time,
+    renewing: bool,
+    next_read: Time,
+    reading: Option<Time>,
+    random: fastrand::Rng,
+}
+
+impl Leadership {
+    pub fn new(node: &str, ttl: Duration, seed: u64) -> Leadership {
+        let mut random = fastrand::Rng::with_seed(seed);
+        Leadership {
+            node: node.to_owned(),
+            incarnation: random.u64(..),
+            ttl,
+            role: Role::Following,
+            term: Term(0),
+            leader: None,
+            valid_until: Time::default(),
+            renewed_at: Time::default(),
+            renewing: false,
+            next_read: Time::default(),
+            reading: None,
+            random,
+        }
+    }
+
+    /// The one place where the role changes.
+    fn enter(&mut self, role: Role) {
+        if self.role != role {
+            log::info!("leadership: {:?} -> {role:?}", self.role);
+            self.role = role;
+        }
+    }
+
+    pub fn is_leading(&self) -> bool {
+        matches!(self.role, Role::Leading { .. })
+    }
+
+    /// Whether the own lease surely still stands. Without it the leader goes on answering workers,
+    /// but begins nothing: an outage is not deposition.
+    pub fn is_certain(&self, now: Time) -> bool {
+        self.is_leading() && now < self.valid_until
+    }
+
+    pub fn next_wake(&self) -> Time {
+        match self.role {
+            Role::Leading { .. } => self.renewed_at.after(self.ttl / 3),
+            _ => self.next_read,
+        }
+    }
+
+    pub fn tick(&mut self, now: Time) -> Option<Wish> {
+        match self.role {
+            Role::Leading { lease, .. } => {
+                if self.renewing || now < self.renewed_at.after(self.ttl / 3) {
+                    return None;
+                }
+                self.renewing = true;
+                self.renewed_at = now;
+                Some(Wish::Renew(lease))
+            }
+            Role::Following => {
+                let pending = self.reading.is_some_and(|at| now < at.after(READ_LIMIT));
+                if pending || now < self.next_read {
+                    return None;
+                }
+                self.reading = Some(now);
+                self.schedule_read(now);
+                Some(Wish::Read)
+            }
+            Role::Granting { .. } | Role::Claiming { .. } => None,
+        }
+    }
+
+    fn schedule_read(&mut self, now: Time) {
+        // Random, so that candidates seldom meet.
+        let pause = READ_EVERY.mul_f64(0.75 + 0.5 * self.random.f64());
+        self.next_read = now.after(pause);
+    }
+
+    /// Someone speaks of a term: a worker's report, a peer, the state service.
+    pub fn heard_of(&mut self, term: Term, leader: Option<&str>) -> Option<Wish> {
+        if term < self.term {
+            return None;
+        }
+        if term > self.term {
+            self.term = term;
+            self.leader = None;
+        }
+        if let Some(leader) = leader.filter(|l| *l != self.node) {
+            self.leader = Some(leader.to_owned());
+        }
+        match self.role {
+            Role::Leading { term: ours, .. } if term > ours => Some(self.step_down()),
+            _ => None,
+        }
+    }
+
+    /// Proof came that another leads.
+    pub fn step_down(&mut self) -> Wish {
+        self.enter(Role::Following);
+        if self.leader.as_deref() == Some(&self.node) {
+            self.leader = None;
+        }
+        self.renewing = false;
+        self.next_read = Time::default();
+        Wish::StepDown
+    }
+
+    pub fn on_read(&mut self, seen: Option<Seen>, now: Time) -> Option<Wish> {
+        self.reading = None;
+        let seen = seen?;
+        if self.role != Role::Following {
+            return None;
+        }
+        let (term, term_stamp) = seen.term.unwrap_or((Term(0), Stamp(0)));
+        let Some((holder, stamp)) = seen.holder else {
+            if term >= self.term {
+                self.term = term;
+                self.leader = None;
+            }
+            self.enter(Role::Granting {
+                term: Term(term.0 + 1),
+                term_stamp,
+            });
+            return Some(Wish::Grant(self.ttl));
+        };
+        if holder.node == self.node {
+            if holder.incarnation == self.incarnation {
+                // A claim thought lost was carried out.
+                return Some(self.lead(holder.lease, holder.term, stamp, now));
+            }
+            // This node's earlier process: it is dead, or this one would not run.
+            return Some(Wish::End(holder.lease));
+        }
+        self.heard_of(holder.term, Some(&holder.node))
+    }
+
+    fn lead(&mut self, lease: LeaseId, term: Term, stamp: Stamp, now: Time) -> Wish {
+        self.term = term;
+        self.leader = Some(self.node.clone());
+        self.enter(Role::Leading { lease, term, stamp });
+        // A renewal at once: the time of the grant is not known for sure any more.
+        self.renewing = false;
+        self.renewed_at = Time::default();
+        self.valid_until = self.valid_until.max(now);
+        Wish::Lead { term, stamp }
+    }
+
+    pub fn on_outcome(
+        &mut self,
+        step: Step,
+        outcome: Outcome,
+        sent: Time,
+        now: Time,
+    ) -> Option<Wish> {
+        match (step, &self.role, outcome) {
+            (Step::Grant, Role::Granting { term, term_stamp }, Outcome::Granted(lease)) => {
+                let (term, term_stamp) = (*term, *term_stamp);
+                self.valid_until = sent.after(self.ttl.mul_f64(DRIFT));
+                self.enter(Role::Claiming { lease, term });
+                Some(Wish::Claim(self.claim(lease, term, term_stamp)))
+            }
+            (Step::Claim, Role::Claiming { lease, term }, Outcome::Applied(stamp)) => {
+                let (lease, term) = (*lease, *term);
+                Some(self.lead(lease, term, stamp, now))
+            }
+            (Step::Claim, Role::Claiming { lease, .. }, Outcome::Conflict(_)) => {
+                let lease = *lease;
+                self.enter(Role::Following);
+                self.schedule_read(now);
+                Some(Wish::End(lease))
+            }
+            (Step::Grant | Step::Claim, Role::Granting { .. } | Role::Claiming { .. }, _) => {
+                // Whatever became of it, the next read shows.
+                self.enter(Role::Following);
+                self.schedule_read(now);
+                None
+            }
+            (Step::Renew, Role::Leading { .. }, outcome) => {
+                self.renewing = false;
+                match outcome {
+                    Outcome::Extended => {
+                        self.valid_until = sent.after(self.ttl.mul_f64(DRIFT));
+                        None
+                    }
+                    Outcome::LeaseGone => Some(self.step_down()),
+                    _ => None,
+                }
+            }
+            _ => None,
+        }
+    }
+
+    fn claim(&self, lease: LeaseId, term: Term, term_stamp: Stamp) -> Txn {
+        let holder = HolderRecord {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            lease,
+            term,
+        };
+        let mut txn = Txn::default();
+        txn.require(HOLDER.to_owned(), Stamp(0));
+        txn.require(TERM.to_owned(), term_stamp);
+        txn.changes.push(Change::Put {
+            key: HOLDER.to_owned(),
+            value: value(&holder),
+            lease: Some(lease),
+        });
+        txn.changes
+            .push(Change::put(TERM.to_owned(), value(&TermRecord { term })));
+        txn
+    }
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,914 @@
+//! What the leading controller decides. No input or output happens here: events and the time come
+//! in, actions go out, so that kept traces can be replayed.
+
+pub mod fleet;
+pub mod hosts;
+pub mod jobs;
+pub mod leadership;
+pub mod placement;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::bookkeeping::ledger::{Jobs, Ledger, Verdict, Written};
+use crate::bookkeeping::records::{ChunkRecord, JobRecord};
+use crate::protocol::cloud::{MachineType, Rental};
+use crate::protocol::state::Txn;
+use crate::protocol::workers::{Cause, Order, Report, TaskReport, TaskState as Reported};
+use crate::settings::{Service, Team, Tuning};
+use crate::types::{seconds, Attempt, HostName, JobId, Session, Stamp, TaskId, Term, Tick, Time};
+
+use fleet::Fleet;
+use hosts::{Booking, BookingPhase, Cordon, Host, Leftover, Life, StopWhy};
+use jobs::{Job, JobPhase, Resources, TaskState};
+
+/// What the leader wants done outside.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Command {
+        host: HostName,
+        to: SocketAddr,
+        session: Session,
+        orders: Vec<Order>,
+    },
+    Rent(Rental),
+    Release(Vec<HostName>),
+}
+
+/// How a direct command ended.
+#[derive(Debug)]
+pub enum CommandResult {
+    /// The worker answered with its report, whether or not it executed anything.
+    Report(Box<Report>),
+    /// Surely not executed.
+    NotSent,
+    /// May have been executed, or may yet be.
+    Lost,
+}
+
+/// A worker has seen a higher token: another leader is in office.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Deposed(pub Term);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Records are being read.
+    Loading,
+    /// One report round passes, so that the picture is whole before anything is placed.
+    Gathering {
+        until: Time,
+    },
+    Placing,
+}
+
+/// The settings that decisions depend on.
+#[derive(Clone, Debug)]
+pub struct Rulebook {
+    pub report: Duration,
+    pub lease: Duration,
+    pub cancel: Duration,
+    pub list_lag: Duration,
+    pub chunk_size: u32,
+    pub teams: Vec<Team>,
+    pub tuning: Tuning,
+}
+
+impl Rulebook {
+    pub fn new(service: &Service, tuning: &Tuning) -> Rulebook {
+        Rulebook {
+            report: service.workers.report(),
+            lease: service.workers.lease(),
+            cancel: service.workers.cancel(),
+            list_lag: seconds(service.cloud.list_lag_s),
+            chunk_size: crate::bookkeeping::records::chunk_size(service.state.value_kb),
+            teams: service.teams.clone(),
+            tuning: tuning.clone(),
+        }
+    }
+
+    pub fn silent_limit(&self) -> Duration {
+        self.report.mul_f64(self.tuning.silent_reports)
+    }
+
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.teams.iter().find(|t| t.name == name)
+    }
+}
+
+/// The picture and the decisions of one term.
+pub struct Controller {
+    pub term: Term,
+    pub phase: Phase,
+    rules: Rulebook,
+    pub types: Vec<MachineType>,
+    pub hosts: BTreeMap<HostName, Host>,
+    pub jobs: Jobs,
+    pub ledger: Ledger,
+    fleet: Fleet,
+    /// What each team's bookings take, all that are not proven ended.
+    used: BTreeMap<String, Resources>,
+    /// Machines whose release the cloud confirmed, the latest ones.
+    released: VecDeque<HostName>,
+    actions: Vec<Action>,
+    /// Something changed that may let a task start.
+    place_wanted: bool,
+    place_at: Time,
+    started_at: Time,
+}
+
+/// Names of released machines are kept as long as a list may still show them.
+const KEPT_RELEASED: usize = 2000;
+/// The longest time between two passes over the waiting tasks.
+const PLACE_EVERY: Duration = Duration::from_secs(1);
+/// A failure on a machine keeps the job's tasks away from it for this long.
+const AVOID: Duration = Duration::from_secs(20);
+
+impl Controller {
+    pub fn new(
+        term: Term,
+        holder: Stamp,
+        rules: Rulebook,
+        types: Vec<MachineType>,
+        now: Time,
+    ) -> Self {
+        Controller {
+            term,
+            phase: Phase::Loading,
+            rules,
+            types,
+            hosts: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            ledger: Ledger::new(holder),
+            fleet: Fleet::new(term),
+            used: BTreeMap::new(),
+            released: VecDeque::new(),
+            actions: Vec::new(),
+            place_wanted: false,
+            place_at: now,
+            started_at: now,
+        }
+    }
+
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The one place where the controller changes its phase.
+    fn enter(&mut self, phase: Phase) {
+        log::info!("term {}: {:?} -> {phase:?}", self.term, self.phase);
+        self.phase = phase;
+        self.place_wanted = true;
+    }
+
+    // ---- jobs
+
+    /// A job's record, at the start or as news of the watch.
+    pub fn on_job(&mut self, record: JobRecord, live: Stamp) {
+        let id = record.spec.id;
+        if self.jobs.get(&id).is_some_and(|j| j.spec.is_some()) {
+            return;
+        }
+        log::debug!(
+            "{id}: {} tasks, {:?}",
+            record.spec.tasks,
+            record.spec.priority
+        );
+        self.jobs.insert(id, Job::new(record, live));
+        self.place_wanted = true;
+    }
+
+    /// Its record is gone: cancelled by its user, unless it was this leader that finished it.
+    pub fn on_job_gone(&mut self, id: JobId, now: Time) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if !matches!(job.phase, JobPhase::Active | JobPhase::Finishing) {
+            return;
+        }
+        log::debug!("{id}: withdrawn with {} tasks booked", job.booked);
+        job.enter(JobPhase::Withdrawn, now);
+        let booked: Vec<(HostName, TaskId)> = self
+            .hosts
+            .values()
+            .flat_map(|h| h.bookings.keys().map(|t| (h.name.clone(), *t)))
+            .filter(|(_, task)| task.job == id)
+            .collect();
+        for (host, task) in booked {
+            self.stop(&host, task, StopWhy::Withdrawn, now);
+        }
+        self.settle(id, now);
+        self.place_wanted = true;
+    }
+
+    /// Marks a booking to be stopped and tells its worker at once.
+    fn stop(&mut self, name: &HostName, task: TaskId, why: StopWhy, now: Time) {
+        let Some(mut host) = self.hosts.remove(name) else {
+            return;
+        };
+        if let Some(booking) = host.bookings.get_mut(&task) {
+            booking.stop = Some(why);
+            if !booking.sent {
+                // No `run` of it ever left, so it is nowhere.
+                self.end_booking(&mut host, task, false, now);
+            } else {
+                self.command(&mut host, now);
+            }
+        }
+        self.hosts.insert(name.clone(), host);
+    }
+
+    /// After a booking ended or a task got done: the job may be at its end.
+    fn settle(&mut self, id: JobId, now: Time) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        match job.phase {
+            JobPhase::Active if job.done == job.total => {
+                job.enter(JobPhase::Finishing, now);
+                self.ledger.finish(id);
+            }
+            JobPhase::Withdrawn if job.booked == 0 => {
+                job.enter(JobPhase::Sweeping, now);
+                self.ledger.sweep(id);
+            }
+            _ => {}
+        }
+    }
+
+    pub fn on_run_record(
+        &mut self,
+        id: JobId,
+        number: u32,
+        record: &ChunkRecord,
+        stamp: Stamp,
+        now: Time,
+    ) {
+        let job = self
+            .jobs
+            .entry(id)
+            .or_insert_with(|| Job::orphan(id, record, now));
+        let (need, team) = (job.need, job.team.clone());
+        let stop = (job.phase == JobPhase::Withdrawn).then_some(StopWhy::Withdrawn);
+        for (index, attempt, name, session) in job.load(number, record, stamp) {
+            let task = TaskId { job: id, index };
+            let host = self
+                .hosts
+                .entry(name.clone())
+                .or_insert_with(|| Host::new(name, now));
+            host.session = host.session.max(session);
+            host.book(
+                task,
+                Booking {
+                    attempt,
+                    session,
+                    need,
+                    phase: BookingPhase::Ordered,
+                    change: 0,
+                    sent: true,
+                    answered: Tick(0),
+                    stop,
+                    saving: false,
+                    fetching: false,
+                    since: now,
+                    started: None,
+                },
+            );
+            self.used.entry(team.clone()).or_default().add(&need);
+        }
+    }
+
+    /// All records are in: from now on reports complete the picture.
+    pub fn on_loaded(&mut self, now: Time) {
+        let ids: Vec<JobId> = self.jobs.keys().copied().collect();
+        for id in ids {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.loaded();
+            }
+            self.settle(id, now);
+        }
+        let round = self.rules.report.mul_f64(1.25) + Duration::from_millis(500);
+        self.started_at = now;
+        for host in self.hosts.values_mut() {
+            // Only records speak for them; whether they are cut off or gone will show.
+            host.heard_at = now;
+            host.enter(Life::Silent);
+        }
+        self.enter(Phase::Gathering {
+            until: now.after(round),
+        });
+    }
+
+    // ---- workers
+
+    /// Takes in a worker's own report and returns the orders for it.
+    pub fn on_report(&mut self, report: &Report, now: Time) -> Result<Vec<Order>, Deposed> {
+        self.take_in(report, true, now)
+    }
+
+    fn take_in(&mut self, report: &Report, own: bool, now: Time) -> Result<Vec<Order>, Deposed> {
+        if report.token > self.term {
+            return Err(Deposed(report.token));
+        }
+        if self.phase == Phase::Loading || self.released.contains(&report.host) {
+            // The token alone keeps the worker's lease alive while the records are read.
+            return Ok(Vec::new());
+        }
+        let name = report.host.clone();
+        let mut host = self
+            .hosts
+            .remove(&name)
+            .unwrap_or_else(|| Host::new(name.clone(), now));
+        let orders = if host.is_news(report) {
+            self.update(&mut host, report, own, now);
+            if own {
+                self.orders(&mut host, Some(report.tick))
+            } else {
+                Vec::new()
+            }
+        } else {
+            log::debug!("{name}: late report {}/{}", report.session, report.tick);
+            Vec::new()
+        };
+        self.hosts.insert(name, host);
+        Ok(orders)
+    }
+
+    fn update(&mut self, host: &mut Host, report: &Report, own: bool, now: Time) {
+        if host.up_at.is_none() {
+            host.up_at = Some(now);
+            host.idle_since = host.bookings.is_empty().then_some(now);
+        }
+        if host.kind.is_none() || host.zone.is_empty() {
+            host.kind = self.types.iter().position(|t| t.name == report.kind);
+            host.zone = report.zone.clone();
+            host.spot = report.spot;
+        }
+        host.address = report.address.parse().ok();
+        host.token = report.token;
+        host.heard_at = now;
+        if own {
+            host.doubted = false;
+        }
+        if host.life != Life::Up {
+            host.enter(Life::Up);
+            if host.cordon == Some(Cordon::Lost) && host.life == Life::Up {
+                host.cordon = None;
+            }
+            self.place_wanted = true;
+        }
+        if report.session > host.session {
+            self.new_session(host, report.session, now);
+        }
+        host.tick = report.tick;
+        for reported in &report.tasks {
+            self.reported(host, reported, now);
+        }
+        self.absent(host, report, own, now);
+        if let Some(notice) = report.notice_s {
+            self.noticed(host, seconds(notice.0), now);
+        }
+    }
+
+    /// The worker killed and forgot all that earlier sessions held.
+    fn new_session(&mut self, host: &mut Host, session: Session, now: Time) {
+        let old: Vec<TaskId> = host
+            .bookings
+            .iter()
+            .filter(|(_, b)| b.session < session)
+            .map(|(t, _)| *t)
+            .collect();
+        if !old.is_empty() {
+            log::info!("{}: session {session}, {} tasks lost", host.name, old.len());
+        }
+        for task in old {
+            self.end_booking(host, task, false, now);
+        }
+        host.session = session;
+        host.leftovers.clear();
+        host.unanswered.clear();
+        self.place_wanted = true;
+    }
+
+    fn reported(&mut self, host: &mut Host, reported: &TaskReport, now: Time) {
+        let TaskReport {
+            task,
+            attempt,
+            state,
+            ..
+        } = *reported;
+        let ours = host
+            .bookings
+            .get_mut(&task)
+            .filter(|b| b.attempt == attempt);
+        match (ours, state) {
+            (Some(_), Reported::Ended) => self.ended(host, reported, now),
+            (Some(booking), _) => {
+                let was_fetching = booking.fetching || booking.phase != BookingPhase::Present;
+                booking.seen(reported, now);
+                if was_fetching && !booking.fetching {
+                    if let Some(spec) = self.jobs.get(&task.job).and_then(|j| j.spec.as_ref()) {
+                        host.images.insert(spec.image.clone());
+                    }
+                }
+            }
+            (None, Reported::Ended) => {
+                // Its outcome is in the records already, or never mattered.
+                host.leftovers
+                    .entry((task, attempt))
+                    .or_insert(Leftover { change: 0 });
+            }
+            (None, _) => self.stray(host, task, attempt, now),
+        }
+    }
+
+    fn ended(&mut self, host: &mut Host, reported: &TaskReport, now: Time) {
+        let TaskReport {
+            task,
+            attempt,
+            cause,
+            ..
+        } = *reported;
+        let done = cause == Some(Cause::Done);
+        match cause {
+            Some(Cause::Done) => {
+                host.failures = 0;
+                host.failed_jobs.clear();
+            }
+            Some(Cause::Stopped) => {}
+            Some(Cause::Error) => self.task_failed(host, task, now),
+            _ => {
+                log::info!("{}: {task} attempt {attempt} refused: {cause:?}", host.name);
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.not_before = now.after(Duration::from_secs(1));
+                }
+            }
+        }
+        let change = self.end_booking(host, task, done, now);
+        host.leftovers.insert((task, attempt), Leftover { change });
+        self.place_wanted = true;
+    }
+
+    /// Ends a booking that is proven to have ended, and returns the change that holds the outcome.
+    fn end_booking(&mut self, host: &mut Host, task: TaskId, done: bool, now: Time) -> u64 {
+        let Some(booking) = host.unbook(task, now) else {
+            return 0;
+        };
+        self.place_wanted = true;
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return 0;
+        };
+        if let Some(used) = self.used.get_mut(&job.team) {
+            used.remove(&booking.need);
+        }
+        let state = if done {
+            TaskState::Done
+        } else {
+            TaskState::Waiting {
+                last: booking.attempt,
+            }
+        };
+        let mut change = 0;
+        if let Some(number) = job.set_task(task.index, state) {
+            change = job.chunk(number).map_or(0, |c| c.changes);
+            self.ledger.changed(task.job, number, false);
+        }
+        self.settle(task.job, now);
+        change
+    }
+
+    fn task_failed(&mut self, host: &mut Host, task: TaskId, now: Time) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        job.failed(&host.name, now);
+        host.failed_jobs.insert(task.job, now);
+        if job.suspect() {
+            // It fails everywhere: that says nothing about this machine.
+            return;
+        }
+        host.failures += 1;
+        let proven = job.done > 0 || job.failed_on.len() == 1 && host.failures >= 3;
+        log::info!("{}: {task} failed, {} in a row", host.name, host.failures);
+        if host.failed_jobs.len() >= 2 || (proven && host.failures >= 2) {
+            log::info!("{}: fails what it is given", host.name);
+            host.cordon(Cordon::Sick);
+        }
+    }
+
+    /// A task that the records don't place here. Book before run leaves no honest way to this,
+    /// so it is stopped; until it has ended, it is not started elsewhere.
+    fn stray(&mut self, host: &mut Host, task: TaskId, attempt: Attempt, now: Time) {
+        log::warn!("{}: {task} attempt {attempt} is not booked here", host.name);
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let free =
+            matches!(job.task(task.index), Some(TaskState::Waiting { last }) if *last <= attempt);
+        if job.phase != JobPhase::Active || !free || host.bookings.contains_key(&task) {
+            return;
+        }
+        let (session, need) = (host.session, job.need);
+        let state = TaskState::Booked {
+            host: host.name.clone(),
+            attempt,
+            session,
+        };
+        let Some(number) = job.set_task(task.index, state) else {
+            return;
+        };
+        let change = job.chunk(number).map_or(0, |c| c.changes);
+        self.ledger.changed(task.job, number, true);
+        self.used.entry(job.team.clone()).or_default().add(&need);
+        host.book(
+            task,
+            Booking {
+                attempt,
+                session,
+                need,
+                phase: BookingPhase::Present,
+                change,
+                sent: true,
+                answered: Tick(0),
+                stop: Some(StopWhy::Drained),
+                saving: false,
+                fetching: false,
+                since: now,
+                started: None,
+            },
+        );
+    }
+
+    /// Looks at what the report lacks.
+    fn absent(&mut self, host: &mut Host, report: &Report, own: bool, now: Time) {
+        let listed: BTreeSet<(TaskId, Attempt)> =
+            report.tasks.iter().map(|t| (t.task, t.attempt)).collect();
+        host.leftovers.retain(|key, _| listed.contains(key));
+        let missing: Vec<TaskId> = host
+            .bookings
+            .iter()
+            .filter(|(task, b)| !listed.contains(&(**task, b.attempt)))
+            .map(|(task, _)| *task)
+            .collect();
+        for task in missing {
+            let Some(booking) = host.bookings.get(&task) else {
+                continue;
+            };
+            // One that is still wanted is ordered again under the same attempt, which is safe.
+            let wanted = booking.stop.is_none() && booking.phase != BookingPhase::Present;
+            if wanted {
+                continue;
+            }
+            let (token, tick) = (report.token, report.tick);
+            if host.proves_absence(task, booking, token, self.term, tick, own) {
+                self.end_booking(host, task, false, now);
+            }
+        }
+    }
+
+    /// The cloud will take the machine: what can't end in time is moved now.
+    fn noticed(&mut self, host: &mut Host, left: Duration, now: Time) {
+        if host.gone_by.is_some() {
+            return;
+        }
+        host.gone_by = Some(now.after(left));
+        host.cordon(Cordon::Notice);
+        self.place_wanted = true;
+        for (task, booking) in &mut host.bookings {
+            let Some(job) = self.jobs.get(&task.job) else {
+                continue;
+            };
+            let ran = booking.started.map_or(Duration::ZERO, |s| now.since(s));
+            let rest = seconds(job.estimate()).saturating_sub(ran);
+            if rest > left.mul_f64(1.5) && booking.stop.is_none() {
+                booking.stop = Some(StopWhy::Drained);
+            }
+        }
+    }
+
+    /// What the worker should do now. In the answer to a report, `run` can't be executed late.
+    fn orders(&mut self, host: &mut Host, answer_to: Option<Tick>) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for (&(task, attempt), leftover) in &host.leftovers {
+            let number = self
+                .jobs
+                .get(&task.job)
+                .map(|j| (j, j.chunk_of(task.index)));
+            let written = number
+                .and_then(|(job, number)| job.chunk(number))
+                .is_none_or(|chunk| chunk.written >= leftover.change);
+            let finishing = self
+                .jobs
+                .get(&task.job)
+                .is_some_and(|j| j.phase == JobPhase::Finishing);
+            let fenced = host.token == self.term && !host.is_unanswered(task, attempt);
+            if written && !finishing && fenced {
+                orders.push(Order::Clear { task, attempt });
+            }
+        }
+        let jobs = &self.jobs;
+        for (&task, booking) in &mut host.bookings {
+            let attempt = booking.attempt;
+            match (booking.stop, booking.phase) {
+                (Some(why), BookingPhase::Present) if !booking.saving => {
+                    let spec = jobs.get(&task.job).and_then(|j| j.spec.as_ref());
+                    let saves = why != StopWhy::Withdrawn;
+                    let grace_s = spec
+                        .filter(|s| saves && s.checkpoint_s.0 > 0.0)
+                        .map_or(0.0, |s| s.save_s.0 * 1.2 + 1.0);
+                    orders.push(Order::Stop {
+                        task,
+                        attempt,
+                        grace_s,
+                    });
+                }
+                (None, BookingPhase::Ordered) if booking.session == host.session => {
+                    booking.sent = true;
+                    if let Some(tick) = answer_to {
+                        booking.answered = tick;
+                    }
+                    orders.push(Order::Run { task, attempt });
+                }
+                _ => {}
+            }
+        }
+        orders
+    }
+
+    /// Sends a worker its orders directly, so that a start need not wait for the next report.
+    fn command(&mut self, host: &mut Host, now: Time) {
+        let fresh = now.since(host.heard_at) <= self.rules.report.mul_f64(1.6);
+        let ready = host.life == Life::Up && fresh && !host.commanding && !host.doubted;
+        let (true, Some(to)) = (ready, host.address) else {
+            return;
+        };
+        let mut orders = self.orders(host, None);
+        orders.retain(|o| !matches!(o, Order::Clear { .. }));
+        if orders.is_empty() {
+            return;
+        }
+        for order in &orders {
+            if let Order::Run { task, attempt } = order {
+                *host.unanswered.entry((*task, *attempt)).or_default() += 1;
+            }
+        }
+        host.commanding = true;
+        let (host, session) = (host.name.clone(), host.session);
+        self.actions.push(Action::Command {
+            host,
+            to,
+            session,
+            orders,
+        });
+    }
+
+    pub fn on_commanded(
+        &mut self,
+        name: &HostName,
+        session: Session,
+        orders: &[Order],
+        result: CommandResult,
+        now: Time,
+    ) -> Result<(), Deposed> {
+        let Some(host) = self.hosts.get_mut(name) else {
+            return Ok(());
+        };
+        host.commanding = false;
+        let lost = matches!(result, CommandResult::Lost);
+        if host.session == session && !lost {
+            for order in orders {
+                if let Order::Run { task, attempt } = order {
+                    host.answered(*task, *attempt);
+                }
+            }
+        }
+        match result {
+            CommandResult::Report(report) => {
+                self.take_in(&report, false, now)?;
+            }
+            CommandResult::NotSent | CommandResult::Lost => host.doubted = true,
+        }
+        Ok(())
+    }
+
+    // ---- records
+
+    pub fn next_batch(&mut self, max_changes: usize) -> Option<Txn> {
+        if self.phase == Phase::Loading {
+            return None;
+        }
+        self.ledger.next_batch(&mut self.jobs, max_changes)
+    }
+
+    pub fn on_verdict(&mut self, verdict: Verdict, now: Time) -> Result<(), Deposed> {
+        match verdict {
+            Verdict::Written(written) => self.on_written(&written, now),
+            Verdict::Conflict { withdrawn } => {
+                for id in withdrawn {
+                    self.on_job_gone(id, now);
+                }
+            }
+            Verdict::Deposed => return Err(Deposed(self.term)),
+            Verdict::Again => {}
+        }
+        Ok(())
+    }
+
+    /// Bookings that are now in the records may run.
+    fn on_written(&mut self, written: &Written, now: Time) {
+        if written.chunks.is_empty() {
+            return;
+        }
+        let chunks: BTreeSet<(JobId, u32)> = written.chunks.iter().copied().collect();
+        let names: Vec<HostName> = self.hosts.keys().cloned().collect();
+        for name in names {
+            let Some(mut host) = self.hosts.remove(&name) else {
+                continue;
+            };
+            let mut ready = false;
+            for (task, booking) in &mut host.bookings {
+                if booking.phase != BookingPhase::Recording {
+                    continue;
+                }
+                let Some(job) = self.jobs.get(&task.job) else {
+                    continue;
+                };
+                let number = job.chunk_of(task.index);
+                let written = job
+                    .chunk(number)
+                    .is_some_and(|c| c.written >= booking.change);
+                if written && chunks.contains(&(task.job, number)) {
+                    booking.phase = BookingPhase::Ordered;
+                    ready = true;
+                }
+            }
+            if ready {
+                self.command(&mut host, now);
+            }
+            self.hosts.insert(name, host);
+        }
+    }
+
+    // ---- time
+
+    /// Does what time alone calls for; `may_act` says that the own lease is surely valid.
+    pub fn tick(&mut self, now: Time, may_act: bool) {
+        match self.phase {
+            Phase::Loading => return,
+            Phase::Gathering { until } => {
+                let all_up = self.hosts.values().all(|h| h.life == Life::Up);
+                let round_over =
+                    now >= until || (all_up && now.since(self.started_at) >= self.rules.report);
+                let nothing_known = self.hosts.is_empty()
+                    && now.since(self.started_at) >= Duration::from_millis(500);
+                if !round_over && !nothing_known {
+                    return;
+                }
+                self.enter(Phase::Placing);
+            }
+            Phase::Placing => {}
+        }
+        self.watch_hosts(now, may_act);
+        if may_act {
+            // Jobs that were told to wait after a failure come back without any event.
+            if std::mem::take(&mut self.place_wanted) || now >= self.place_at {
+                self.place_at = now.after(PLACE_EVERY);
+                self.place(now);
+            }
+            self.run_fleet(now);
+        }
+    }
+
+    fn watch_hosts(&mut self, now: Time, may_act: bool) {
+        let limit = self.rules.silent_limit();
+        let mut by_zone: BTreeMap<String, (usize, usize)> = BTreeMap::new();
+        for host in self.hosts.values_mut() {
+            if host.life == Life::Up && now.since(host.heard_at) > limit {
+                log::info!("{}: silent", host.name);
+                host.enter(Life::Silent);
+            }
+            let count = by_zone.entry(host.zone.clone()).or_default();
+            match host.life {
+                Life::Up => count.1 += 1,
+                Life::Silent => {
+                    count.0 += 1;
+                    count.1 += 1;
+                }
+                Life::Expected | Life::Releasing => {}
+            }
+        }
+        if !may_act {
+            return;
+        }
+        let mut give_up = Vec::new();
+        for host in self.hosts.values() {
+            if host.life == Life::Releasing {
+                continue;
+            }
+            if self.host_is_lost(host, &by_zone, now) || self.holds_a_cancelled_task(host, now) {
+                give_up.push((host.name.clone(), Cordon::Lost));
+            } else if host.cordon == Some(Cordon::Sick) {
+                give_up.push((host.name.clone(), Cordon::Sick));
+            }
+        }
+        for (name, why) in give_up {
+            if let Some(host) = self.hosts.get_mut(&name) {
+                log::info!(
+                    "{name}: given up, {:?}, {} booked",
+                    host.life,
+                    host.bookings.len()
+                );
+                host.cordon(why);
+                host.enter(Life::Releasing);
+                self.fleet.release(name);
+            }
+        }
+    }
+
+    fn host_is_lost(
+        &self,
+        host: &Host,
+        by_zone: &BTreeMap<String, (usize, usize)>,
+        now: Time,
+    ) -> bool {
+        let silent_for = now.since(host.heard_at);
+        match host.life {
+            Life::Silent => {
+                // Many at once are cut off rather than broken: they come back, later.
+                let (silent, all) = by_zone.get(&host.zone).copied().unwrap_or_default();
+                let cut = silent >= 3 && silent * 2 > all;
+                !cut || silent_for > self.rules.lease * 3
+            }
+            Life::Expected => {
+                let boot = host
+                    .kind
+                    .and_then(|k| self.types.get(k))
+                    .map_or(60.0, |t| t.boot_s.0);
+                let patience = seconds(boot * self.rules.tuning.boot_patience);
+                let booked = !host.bookings.is_empty();
+                let said_running = host
+                    .running_since
+                    .is_some_and(|since| now.since(since) > self.rules.silent_limit());
+                let unheard = now.since(host.known_at) > self.rules.silent_limit();
+                now.since(host.rented_at) > patience || (unheard && (booked || said_running))
+            }
+            Life::Up | Life::Releasing => false,
+        }
+    }
+
+    /// A cancelled job's task sits on a machine that doesn't answer, and the time runs out.
+    fn holds_a_cancelled_task(&self, host: &Host, now: Time) -> bool {
+        let heard = now.since(host.heard_at) <= self.rules.report * 2 && !host.doubted;
+        host.bookings.iter().any(|(task, booking)| {
+            let withdrawn_at = self.jobs.get(&task.job).and_then(|j| j.withdrawn_at);
+            let share = if heard { 0.55 } else { 0.25 };
+            booking.stop == Some(StopWhy::Withdrawn)
+                && withdrawn_at.is_some_and(|at| now.since(at) > self.rules.cancel.mul_f64(share))
+        })
+    }
+
+    /// The cloud confirmed: these machines and all on them are gone.
+    pub fn on_gone(&mut self, names: &[HostName], now: Time) {
+        for name in names {
+            if let Some(mut host) = self.hosts.remove(name) {
+                let tasks: Vec<TaskId> = host.bookings.keys().copied().collect();
+                for task in tasks {
+                    self.end_booking(&mut host, task, false, now);
+                }
+            }
+            self.released.push_back(name.clone());
+        }
+        while self.released.len() > KEPT_RELEASED {
+            self.released.pop_front();
+        }
+        self.place_wanted = true;
+    }
+
+    pub fn on_types(&mut self, types: Vec<MachineType>) {
+        if types == self.types {
+            return;
+        }
+        let names: Vec<String> = self.types.iter().map(|t| t.name.clone()).collect();
+        for host in self.hosts.values_mut() {
+            let kind = host.kind.and_then(|k| names.get(k));
+            host.kind = kind.and_then(|k| types.iter().position(|t| t.name == *k));
+        }
+        self.types = types;
+        self.place_wanted = true;
+    }
+
+    /// A line for the log that tells operators how things stand.
+    pub fn summary(&self) -> String {
+        let count = |life| self.hosts.values().filter(|h| h.life == life).count();
+        let waiting: u64 = self.jobs.values().map(|j| u64::from(j.waiting())).sum();
+        let booked: usize = self.hosts.values().map(|h| h.bookings.len()).sum();
+        format!(
+            "{} jobs, {waiting} tasks waiting, {booked} booked; machines: {} up, {} expected, {} silent, {} returning",
+            self.jobs.len(),
+            count(Life::Up),
+            count(Life::Expected),
+            count(Life::Silent),
+            count(Life::Releasing),
+        )
+    }
+}
--- /dev/null
+++ b/src/coordination/placement.rs
@@ -0,0 +1,346 @@
+//! Eligibility, score, order and limits: on which machine each waiting task goes.
+//!
+//! The design: among the eligible machines, the one with the highest weighted headroom; machines
+//! without a sibling task first; ties by name.
+
+use std::collections::BTreeMap;
+
+use super::hosts::{Booking, BookingPhase, Host, Life};
+use super::jobs::{Job, JobPhase, Resources, TaskState};
+use super::{Controller, AVOID};
+use crate::protocol::cloud::MachineType;
+use crate::protocol::users::{JobSpec, Priority};
+use crate::types::{Attempt, HostName, JobId, Stamp, TaskId, Tick, Time};
+
+const MEMORY_WEIGHT: f64 = 25.0;
+const CPU_WEIGHT: f64 = 25.0;
+const GPU_WEIGHT: f64 = 20.0;
+const UTILIZATION_WEIGHT: f64 = 5.0;
+
+pub fn capacity(kind: &MachineType) -> Resources {
+    Resources {
+        cpus: kind.cpus.0,
+        gpus: kind.gpus.0,
+        memory_gb: kind.memory_gb.0,
+    }
+}
+
+fn percent(part: f64, whole: f64) -> f64 {
+    if whole > 0.0 {
+        (100.0 * part / whole).clamp(0.0, 100.0)
+    } else {
+        0.0
+    }
+}
+
+/// The design's weighted headroom score of a machine for a task.
+pub fn score(whole: &Resources, used: &Resources, needs_gpu: bool) -> f64 {
+    let free = whole.minus(used);
+    let gpu = if needs_gpu {
+        GPU_WEIGHT * percent(free.gpus, whole.gpus)
+    } else {
+        0.0
+    };
+    MEMORY_WEIGHT * percent(free.memory_gb, whole.memory_gb)
+        + CPU_WEIGHT * percent(free.cpus, whole.cpus)
+        + gpu
+        - UTILIZATION_WEIGHT * percent(used.cpus, whole.cpus)
+}
+
+/// Whether the job may use machines of this type at all, and one task fits an empty one.
+pub fn type_suits(spec: &JobSpec, kind: &MachineType) -> bool {
+    let allowed = spec.types.as_ref().is_none_or(|t| t.contains(&kind.name));
+    let zone = spec.zone.as_ref().is_none_or(|z| kind.zones.contains(z));
+    allowed && zone && need(spec).fits(&capacity(kind))
+}
+
+pub fn need(spec: &JobSpec) -> Resources {
+    Resources {
+        cpus: spec.cpus.0,
+        gpus: spec.gpus.0,
+        memory_gb: spec.memory_gb.0,
+    }
+}
+
+/// Jobs in the order in which they are served: those within their team's guarantee don't wait for
+/// work that others run on borrowed machines; then priority, then arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    pub borrowing: bool,
+    pub priority: Priority,
+    pub arrival: Stamp,
+    pub id: JobId,
+}
+
+impl Controller {
+    /// All jobs with waiting tasks, in the order in which they are served.
+    pub(super) fn ranked(&self) -> Vec<Rank> {
+        let mut by_arrival: Vec<&Job> = self
+            .jobs
+            .values()
+            .filter(|j| j.phase == JobPhase::Active)
+            .collect();
+        by_arrival.sort_by_key(|j| j.live);
+        let mut claimed: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+        let mut ranks = Vec::new();
+        for job in by_arrival {
+            let Some(spec) = &job.spec else { continue };
+            let guaranteed = self
+                .rules
+                .team(&job.team)
+                .map_or((0.0, 0.0), |t| t.guaranteed());
+            let claimed = claimed.entry(&job.team).or_default();
+            let open = f64::from(job.total - job.done);
+            claimed.0 += open * job.need.cpus;
+            claimed.1 += open * job.need.gpus;
+            let within =
+                claimed.0 <= guaranteed.0 && (claimed.1 <= guaranteed.1 || job.need.gpus == 0.0);
+            if job.waiting() > 0 {
+                ranks.push(Rank {
+                    borrowing: !within,
+                    priority: spec.priority,
+                    arrival: job.live,
+                    id: job.id,
+                });
+            }
+        }
+        ranks.sort();
+        ranks
+    }
+
+    /// How many more tasks of this size the team may have booked.
+    pub(super) fn team_room(&self, job: &Job) -> u64 {
+        let Some(team) = self.rules.team(&job.team) else {
+            return 0;
+        };
+        let (cpus, gpus) = team.limits();
+        let used = self.used.get(&job.team).copied().unwrap_or_default();
+        let room = Resources {
+            cpus: (cpus - used.cpus).max(0.0),
+            gpus: (gpus - used.gpus).max(0.0),
+            memory_gb: f64::INFINITY,
+        };
+        job.need.times_in(&room)
+    }
+
+    /// One pass over the waiting tasks.
+    pub(super) fn place(&mut self, now: Time) {
+        let scarce = self.scarce_types();
+        let mut full: Vec<(Resources, bool)> = Vec::new();
+        for rank in self.ranked() {
+            let Some(mut job) = self.jobs.remove(&rank.id) else {
+                continue;
+            };
+            if let Some(spec) = job.spec.clone() {
+                self.place_job(&mut job, &spec, &scarce, &mut full, now);
+            }
+            self.jobs.insert(rank.id, job);
+        }
+    }
+
+    fn place_job(
+        &mut self,
+        job: &mut Job,
+        spec: &JobSpec,
+        scarce: &[bool],
+        full: &mut Vec<(Resources, bool)>,
+        now: Time,
+    ) {
+        if now < job.not_before {
+            return;
+        }
+        let plain = spec.types.is_none() && spec.zone.is_none() && !spec.one_zone && !spec.spread;
+        let shape = (job.need, spec.spot);
+        // A job like one that found no machine in this pass won't find one either.
+        if plain && full.contains(&shape) {
+            return;
+        }
+        let mut room = self.team_room(job);
+        let mut siblings = self.siblings(job, spec);
+        while room > 0 {
+            let Some(index) = job.first_waiting() else {
+                return;
+            };
+            let task = TaskId { job: job.id, index };
+            let Some(name) = self.best_host(job, spec, task, scarce, &siblings, now) else {
+                if plain {
+                    full.push(shape);
+                }
+                return;
+            };
+            self.book(job, task, &name, now);
+            room -= 1;
+            if let Some(host) = self.hosts.get(&name) {
+                *siblings.entry(host.zone.clone()).or_default() += 1;
+            }
+        }
+    }
+
+    /// How many of the job's tasks each zone holds now, silent machines included.
+    fn siblings(&self, job: &Job, spec: &JobSpec) -> BTreeMap<String, u64> {
+        let mut zones = BTreeMap::new();
+        if job.booked > 0 && (spec.one_zone || spec.spread) {
+            for host in self.hosts.values() {
+                let count = host.bookings.keys().filter(|t| t.job == job.id).count() as u64;
+                if count > 0 {
+                    *zones.entry(host.zone.clone()).or_default() += count;
+                }
+            }
+        }
+        zones
+    }
+
+    fn zone_allowed(spec: &JobSpec, zone: &str, siblings: &BTreeMap<String, u64>) -> bool {
+        if spec.zone.as_ref().is_some_and(|z| z != zone) {
+            return false;
+        }
+        // A booked machine whose zone is not known yet could be anywhere.
+        let unknown = siblings.contains_key("");
+        if spec.one_zone && (unknown || siblings.keys().any(|z| z != zone)) {
+            return false;
+        }
+        if spec.spread {
+            let here =
+                siblings.get(zone).copied().unwrap_or(0) + siblings.get("").copied().unwrap_or(0);
+            if here + 1 > spec.tasks.div_ceil(2) {
+                return false;
+            }
+        }
+        true
+    }
+
+    pub(super) fn is_open(&self, host: &Host, now: Time) -> bool {
+        let fresh = now.since(host.heard_at) <= self.rules.report * 2;
+        host.life == Life::Up && host.cordon.is_none() && fresh && !host.doubted
+    }
+
+    fn best_host(
+        &self,
+        job: &Job,
+        spec: &JobSpec,
+        task: TaskId,
+        scarce: &[bool],
+        siblings: &BTreeMap<String, u64>,
+        now: Time,
+    ) -> Option<HostName> {
+        let mut best: Option<(bool, f64, &HostName)> = None;
+        for host in self.hosts.values() {
+            let Some(kind) = host.kind.and_then(|k| self.types.get(k)) else {
+                continue;
+            };
+            let whole = capacity(kind);
+            let eligible = self.is_open(host, now)
+                && (spec.spot || !host.spot)
+                && type_suits(spec, kind)
+                && job.need.fits(&whole.minus(&host.used))
+                && Self::zone_allowed(spec, &host.zone, siblings)
+                && !self.kept_for_others(spec, host.kind, scarce)
+                && !host
+                    .failed_jobs
+                    .get(&job.id)
+                    .is_some_and(|at| now.since(*at) < AVOID)
+                && !host.leftovers.keys().any(|(t, _)| *t == task)
+                && !host.unanswered.keys().any(|(t, _)| *t == task);
+            if !eligible {
+                continue;
+            }
+            let first = TaskId {
+                job: job.id,
+                index: 0,
+            };
+            let last = TaskId {
+                job: job.id,
+                index: u32::MAX,
+            };
+            let alone = host.bookings.range(first..=last).next().is_none();
+            let score = score(&whole, &host.used, job.need.gpus > 0.0);
+            // Hosts come in the order of their names, so a tie stays with the first.
+            if best.is_none_or(|(a, s, _)| (alone, score) > (a, s)) {
+                best = Some((alone, score, &host.name));
+            }
+        }
+        best.map(|(_, _, name)| name.clone())
+    }
+
+    /// Types that some waiting or running work needs because no other type fits it.
+    pub(super) fn scarce_types(&self) -> Vec<bool> {
+        let mut scarce = vec![false; self.types.len()];
+        for job in self.jobs.values().filter(|j| j.phase == JobPhase::Active) {
+            let Some(spec) = &job.spec else { continue };
+            let suited: Vec<usize> = self.suited(spec);
+            if let [only] = suited[..] {
+                scarce[only] = true;
+            }
+        }
+        for only in self.fleet.remembered_scarce() {
+            if let Some(s) = scarce.get_mut(*only) {
+                *s = true;
+            }
+        }
+        scarce
+    }
+
+    pub(super) fn suited(&self, spec: &JobSpec) -> Vec<usize> {
+        let all = self.types.iter().enumerate();
+        all.filter(|(_, t)| type_suits(spec, t))
+            .map(|(i, _)| i)
+            .collect()
+    }
+
+    /// The exception to eligibility: work that fits another type stays off a type that other work
+    /// can't do without, as headroom would otherwise fill the large machines with small tasks.
+    pub(super) fn kept_for_others(
+        &self,
+        spec: &JobSpec,
+        kind: Option<usize>,
+        scarce: &[bool],
+    ) -> bool {
+        let Some(kind) = kind.filter(|k| scarce.get(*k) == Some(&true)) else {
+            return false;
+        };
+        self.suited(spec)
+            .iter()
+            .any(|k| *k != kind && scarce.get(*k) == Some(&false))
+    }
+
+    /// Books a task: recorded first, run later.
+    fn book(&mut self, job: &mut Job, task: TaskId, name: &HostName, now: Time) {
+        let Some(host) = self.hosts.get_mut(name) else {
+            return;
+        };
+        let attempt = Attempt(job.last_attempt(task.index).0 + 1);
+        let session = host.session;
+        let state = TaskState::Booked {
+            host: name.clone(),
+            attempt,
+            session,
+        };
+        let Some(number) = job.set_task(task.index, state) else {
+            return;
+        };
+        let change = job.chunk(number).map_or(0, |c| c.changes);
+        log::debug!("{task} attempt {attempt} -> {name}");
+        host.book(
+            task,
+            Booking {
+                attempt,
+                session,
+                need: job.need,
+                phase: BookingPhase::Recording,
+                change,
+                sent: false,
+                answered: Tick(0),
+                stop: None,
+                saving: false,
+                fetching: false,
+                since: now,
+                started: None,
+            },
+        );
+        self.used
+            .entry(job.team.clone())
+            .or_default()
+            .add(&job.need);
+        self.ledger.changed(job.id, number, true);
+    }
+}
--- /dev/null
+++ b/src/node/front.rs
@@ -0,0 +1,488 @@
+//! Users' requests. Every node answers them from the state service: submissions and cancellations
+//! are conditional writes, answers are consistent reads, so no node gives an older answer.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+use crate::bookkeeping::records::{self, ChunkRecord, JobRecord, OverRecord};
+use crate::bookkeeping::store::{Ask, Class, Outcome};
+use crate::coordination::placement;
+use crate::protocol::cloud::MachineType;
+use crate::protocol::encode;
+use crate::protocol::state::{value, Change, Txn};
+use crate::protocol::users::{self, JobSpec, JobState, JobStatus, Problem, Submission};
+use crate::settings::Team;
+use crate::transport::{ConnId, Response};
+use crate::types::{JobId, Stamp, Time};
+
+/// How long users wait for an answer, less the way back.
+const SUBMIT_LIMIT: Duration = Duration::from_millis(4200);
+const POLL_LIMIT: Duration = Duration::from_millis(1700);
+/// How long one request to the state service may take before it counts as lost.
+const ASK_LIMIT: Duration = Duration::from_millis(900);
+/// More at once than this are told to come back.
+const MAX_OPEN: usize = 400;
+/// Final states kept in memory.
+const MAX_CACHED: usize = 20_000;
+/// The most bytes of submissions in one transaction.
+const MAX_BATCH: usize = 40 * 1024;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FrontId(u64);
+
+/// What the user wants of a job.
+#[derive(Clone, Debug)]
+enum Want {
+    Submit(Box<JobRecord>),
+    /// A submission that can't be accepted, unless the job is known already.
+    Repeat {
+        otherwise: Response,
+    },
+    Poll,
+    Withdraw,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Stage {
+    /// Waits for the next shared transaction, or is in one.
+    Queued,
+    ReadingLive,
+    ReadingCounts {
+        live: Stamp,
+    },
+    ReadingOver,
+    Withdrawing,
+}
+
+struct Open {
+    conn: ConnId,
+    job: JobId,
+    want: Want,
+    stage: Stage,
+    until: Time,
+}
+
+/// Which request to the state service an outcome answers.
+#[derive(Clone, Debug)]
+pub enum FrontAsk {
+    One(FrontId),
+    Batch(Vec<FrontId>),
+}
+
+/// What the front needs done.
+pub enum FrontAct {
+    Ask(Class, Ask, Duration, FrontAsk),
+    Respond(ConnId, Response),
+}
+
+/// What the leader knows of a job's tasks: finished and booked.
+pub type Counts<'a> = &'a dyn Fn(JobId) -> Option<(u64, u64)>;
+
+pub struct Front {
+    next: u64,
+    open: BTreeMap<FrontId, Open>,
+    queue: VecDeque<FrontId>,
+    in_flight: bool,
+    finals: HashMap<JobId, OverRecord>,
+    finals_order: VecDeque<JobId>,
+    chunk_size: u32,
+    max_value: usize,
+    max_jobs: usize,
+    teams: Vec<Team>,
+    acts: Vec<FrontAct>,
+}
+
+fn problem(status: u16, error: &str) -> Response {
+    Response::new(status, encode(&Problem { error }))
+}
+
+/// The service can't say now; the user is told at once when to come back.
+fn unavailable() -> Response {
+    Response::later(503, 1)
+}
+
+impl Front {
+    pub fn new(teams: Vec<Team>, value_kb: f64, txn_ops: usize) -> Front {
+        Front {
+            next: 0,
+            open: BTreeMap::new(),
+            queue: VecDeque::new(),
+            in_flight: false,
+            finals: HashMap::new(),
+            finals_order: VecDeque::new(),
+            chunk_size: records::chunk_size(value_kb),
+            max_value: (value_kb * 1024.0) as usize,
+            max_jobs: txn_ops.min(8),
+            teams,
+            acts: Vec::new(),
+        }
+    }
+
+    pub fn take_acts(&mut self) -> Vec<FrontAct> {
+        std::mem::take(&mut self.acts)
+    }
+
+    fn respond(&mut self, conn: ConnId, response: Response) {
+        self.acts.push(FrontAct::Respond(conn, response));
+    }
+
+    fn status(state: JobState, id: JobId, done: u64, running: u64) -> Vec<u8> {
+        encode(&JobStatus {
+            id,
+            state,
+            done,
+            running,
+        })
+    }
+
+    fn final_answer(id: JobId, over: OverRecord) -> Response {
+        let done = if over.state == JobState::Done {
+            over.tasks
+        } else {
+            0
+        };
+        Response::new(200, Self::status(over.state, id, done, 0))
+    }
+
+    fn remember(&mut self, id: JobId, over: OverRecord) {
+        if self.finals.insert(id, over).is_none() {
+            self.finals_order.push_back(id);
+        }
+        if self.finals_order.len() > MAX_CACHED {
+            if let Some(oldest) = self.finals_order.pop_front() {
+                self.finals.remove(&oldest);
+            }
+        }
+    }
+
+    // ---- requests
+
+    pub fn submit(
+        &mut self,
+        conn: ConnId,
+        body: &[u8],
+        types: &[MachineType],
+        at_ms: u64,
+        now: Time,
+    ) {
+        match users::read_submission(body) {
+            Submission::Hopeless(wrong) => self.respond(conn, problem(400, &wrong)),
+            Submission::Bad(id, wrong) => {
+                let otherwise = problem(400, &wrong);
+                self.begin(conn, id, Want::Repeat { otherwise }, now);
+            }
+            Submission::Good(spec) => {
+                let id = spec.id;
+                let want = match self.can_ever_run(&spec, types) {
+                    Some(Ok(())) => {
+                        let chunk = self.chunk_size;
+                        Want::Submit(Box::new(JobRecord {
+                            spec: *spec,
+                            at_ms,
+                            chunk,
+                        }))
+                    }
+                    Some(Err(why)) => Want::Repeat {
+                        otherwise: problem(422, why),
+                    },
+                    None => Want::Repeat {
+                        otherwise: unavailable(),
+                    },
+                };
+                self.begin(conn, id, want, now);
+            }
+        }
+    }
+
+    /// `None` while that can't be told, as the machine types are not known.
+    fn can_ever_run(
+        &self,
+        spec: &JobSpec,
+        types: &[MachineType],
+    ) -> Option<Result<(), &'static str>> {
+        let Some(team) = self.teams.iter().find(|t| t.name == spec.team) else {
+            return Some(Err("unknown team"));
+        };
+        let (cpus, gpus) = team.limits();
+        if spec.cpus.0 > cpus || spec.gpus.0 > gpus {
+            return Some(Err("a task needs more than the team's limit"));
+        }
+        if types.is_empty() {
+            return None;
+        }
+        if types.iter().any(|t| placement::type_suits(spec, t)) {
+            Some(Ok(()))
+        } else {
+            Some(Err("a task fits no allowed machine type"))
+        }
+    }
+
+    pub fn poll(&mut self, conn: ConnId, id: &str, now: Time) {
+        match JobId::parse(id) {
+            Some(id) => self.begin(conn, id, Want::Poll, now),
+            None => self.respond(conn, problem(404, "no such job")),
+        }
+    }
+
+    pub fn withdraw(&mut self, conn: ConnId, id: &str, now: Time) {
+        match JobId::parse(id) {
+            Some(id) => self.begin(conn, id, Want::Withdraw, now),
+            None => self.respond(conn, problem(404, "no such job")),
+        }
+    }
+
+    fn begin(&mut self, conn: ConnId, job: JobId, want: Want, now: Time) {
+        if let Some(over) = self.finals.get(&job).copied() {
+            self.respond(conn, Self::final_answer(job, over));
+            return;
+        }
+        if self.open.len() >= MAX_OPEN {
+            self.respond(conn, Response::later(503, 2));
+            return;
+        }
+        self.next += 1;
+        let id = FrontId(self.next);
+        let submits = matches!(want, Want::Submit(_));
+        let limit = if matches!(want, Want::Poll) {
+            POLL_LIMIT
+        } else {
+            SUBMIT_LIMIT
+        };
+        let until = now.after(limit);
+        self.open.insert(
+            id,
+            Open {
+                conn,
+                job,
+                want,
+                stage: Stage::Queued,
+                until,
+            },
+        );
+        if submits {
+            self.queue.push_back(id);
+        } else {
+            self.enter(id, Stage::ReadingLive);
+        }
+    }
+
+    /// The one place where a request changes its stage; each reading stage sends its read.
+    fn enter(&mut self, id: FrontId, stage: Stage) {
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        let job = open.job;
+        open.stage = stage;
+        let class = if matches!(open.want, Want::Poll) {
+            Class::Read
+        } else {
+            Class::User
+        };
+        let ask = match &open.stage {
+            Stage::ReadingLive => Ask::Get(records::live_key(job)),
+            Stage::ReadingCounts { .. } => Ask::Get(records::run_key(job, 0)),
+            Stage::ReadingOver => Ask::Get(records::over_key(job)),
+            Stage::Queued => {
+                self.queue.push_back(id);
+                return;
+            }
+            Stage::Withdrawing => return,
+        };
+        self.acts
+            .push(FrontAct::Ask(class, ask, ASK_LIMIT, FrontAsk::One(id)));
+    }
+
+    fn finish(&mut self, id: FrontId, response: Response) {
+        if let Some(open) = self.open.remove(&id) {
+            self.respond(open.conn, response);
+        }
+    }
+
+    // ---- the shared transaction
+
+    /// Sends what waits, once the transaction before is answered.
+    pub fn pump(&mut self) {
+        if self.in_flight || self.queue.is_empty() {
+            return;
+        }
+        let mut txn = Txn::default();
+        let mut ids = Vec::new();
+        let mut bytes = 0;
+        let mut later = VecDeque::new();
+        while let Some(id) = self.queue.pop_front() {
+            let Some(open) = self.open.get(&id) else {
+                continue;
+            };
+            let Want::Submit(record) = &open.want else {
+                continue;
+            };
+            let size = serde_json::to_vec(record).map_or(usize::MAX, |v| v.len());
+            if size > self.max_value {
+                self.finish(id, problem(400, "the description is too long"));
+                continue;
+            }
+            let key = records::live_key(open.job);
+            let twice = txn.conditions.iter().any(|c| c.key == key);
+            if twice || ids.len() >= self.max_jobs || (bytes + size > MAX_BATCH && !ids.is_empty())
+            {
+                later.push_back(id);
+                continue;
+            }
+            bytes += size;
+            txn.require(key.clone(), Stamp(0));
+            txn.require(records::over_key(open.job), Stamp(0));
+            txn.changes.push(Change::put(key, value(record)));
+            ids.push(id);
+        }
+        self.queue = later;
+        if !ids.is_empty() {
+            self.in_flight = true;
+            let ask = Ask::Txn(txn);
+            self.acts.push(FrontAct::Ask(
+                Class::User,
+                ask,
+                ASK_LIMIT,
+                FrontAsk::Batch(ids),
+            ));
+        }
+    }
+
+    // ---- outcomes
+
+    pub fn on_outcome(&mut self, ask: FrontAsk, outcome: Outcome, counts: Counts) {
+        match ask {
+            FrontAsk::Batch(ids) => self.on_batch(ids, outcome),
+            FrontAsk::One(id) => self.on_one(id, outcome, counts),
+        }
+    }
+
+    fn on_batch(&mut self, ids: Vec<FrontId>, outcome: Outcome) {
+        self.in_flight = false;
+        for id in ids {
+            let Some(open) = self.open.get(&id) else {
+                continue;
+            };
+            let job = open.job;
+            match &outcome {
+                Outcome::Applied(_) => {
+                    let body = Self::status(JobState::Queued, job, 0, 0);
+                    self.finish(id, Response::new(201, body));
+                }
+                Outcome::Conflict(failed) => {
+                    let (live, over) = (records::live_key(job), records::over_key(job));
+                    if failed.iter().any(|k| *k == live || *k == over) {
+                        self.enter(id, Stage::ReadingLive);
+                    } else {
+                        self.enter(id, Stage::Queued);
+                    }
+                }
+                // It can be carried out only once, so repeating it is safe.
+                Outcome::Unknown => self.enter(id, Stage::Queued),
+                _ => self.finish(id, unavailable()),
+            }
+        }
+    }
+
+    fn on_one(&mut self, id: FrontId, outcome: Outcome, counts: Counts) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let job = open.job;
+        match (open.stage.clone(), outcome) {
+            (Stage::ReadingLive, Outcome::Item(Some(item))) => {
+                if matches!(open.want, Want::Withdraw) {
+                    self.send_withdrawal(id, job, item.stamp);
+                } else if let Some((done, running)) = counts(job) {
+                    self.finish(id, Self::progress(job, done, running));
+                } else {
+                    self.enter(id, Stage::ReadingCounts { live: item.stamp });
+                }
+            }
+            (Stage::ReadingLive, Outcome::Item(None)) => self.enter(id, Stage::ReadingOver),
+            (Stage::ReadingCounts { .. }, Outcome::Item(item)) => {
+                let record: Option<ChunkRecord> = item.and_then(|i| i.record());
+                let (done, running) = record.map_or((0, 0), |r| {
+                    (r.done_count() + r.rest.0, r.booked.len() as u64 + r.rest.1)
+                });
+                self.finish(id, Self::progress(job, done, running));
+            }
+            (Stage::ReadingOver, Outcome::Item(Some(item))) => match item.record::<OverRecord>() {
+                Some(over) => {
+                    self.remember(job, over);
+                    self.finish(id, Self::final_answer(job, over));
+                }
+                None => self.finish(id, unavailable()),
+            },
+            // Neither live nor over: as that move is atomic and one-way, it was never accepted.
+            (Stage::ReadingOver, Outcome::Item(None)) => self.never_accepted(id),
+            (Stage::Withdrawing, Outcome::Applied(_)) => {
+                let over = OverRecord {
+                    state: JobState::Cancelled,
+                    tasks: 0,
+                };
+                self.remember(job, over);
+                self.finish(id, Self::final_answer(job, over));
+            }
+            // It was finished or withdrawn by another, or our own answer was lost: look again.
+            (Stage::Withdrawing, Outcome::Conflict(_) | Outcome::Unknown) => {
+                self.enter(id, Stage::ReadingLive);
+            }
+            (stage, Outcome::Unknown) => self.enter(id, stage),
+            _ => self.finish(id, unavailable()),
+        }
+    }
+
+    fn progress(job: JobId, done: u64, running: u64) -> Response {
+        let state = if running > 0 {
+            JobState::Running
+        } else {
+            JobState::Queued
+        };
+        Response::new(200, Self::status(state, job, done, running))
+    }
+
+    fn send_withdrawal(&mut self, id: FrontId, job: JobId, live: Stamp) {
+        let over = OverRecord {
+            state: JobState::Cancelled,
+            tasks: 0,
+        };
+        let mut txn = Txn::default();
+        txn.require(records::live_key(job), live);
+        txn.changes.push(Change::delete(records::live_key(job)));
+        txn.changes
+            .push(Change::put(records::over_key(job), value(&over)));
+        self.enter(id, Stage::Withdrawing);
+        let ask = Ask::Txn(txn);
+        self.acts.push(FrontAct::Ask(
+            Class::User,
+            ask,
+            ASK_LIMIT,
+            FrontAsk::One(id),
+        ));
+    }
+
+    fn never_accepted(&mut self, id: FrontId) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        match open.want.clone() {
+            Want::Repeat { otherwise } => self.finish(id, otherwise),
+            // It lost a race against a withdrawal's record that is not there: try once more.
+            Want::Submit(_) => self.enter(id, Stage::Queued),
+            Want::Poll | Want::Withdraw => self.finish(id, problem(404, "no such job")),
+        }
+    }
+
+    /// Requests whose time is up get their answer while their users still wait for it.
+    pub fn expire(&mut self, now: Time) {
+        let late: Vec<FrontId> = self
+            .open
+            .iter()
+            .filter(|(_, open)| now >= open.until)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            self.finish(id, unavailable());
+        }
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,543 @@
+//! A running node: ties transport, records, leadership and decisions together.
+
+mod front;
+mod office;
+
+use hdrhistogram::Histogram;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::bookkeeping::records::{self, HolderRecord, TermRecord};
+use crate::bookkeeping::store::{Ask, AskId, Class, Outcome, Store};
+use crate::coordination::leadership::{Leadership, Seen, Step, Wish};
+use crate::coordination::{Controller, Deposed, Rulebook};
+use crate::protocol::cloud::{MachineType, MachineTypes};
+use crate::protocol::peers::{self, Hello};
+use crate::protocol::state::Page;
+use crate::protocol::workers::{Answer, Elsewhere, Report};
+use crate::protocol::{decode, encode};
+use crate::settings::{Settings, Tuning};
+use crate::transport::{CallId, ConnId, Door, Happening, Request, Response, Transport};
+use crate::types::{seconds, Stamp, Term, Time};
+use front::{Front, FrontAct, FrontAsk};
+use office::{Office, OfficeAsk};
+
+/// Whose request to the state service it was.
+enum Purpose {
+    Lead(Step, Time),
+    Office(Term, OfficeAsk),
+    Front(FrontAsk),
+    Types,
+}
+
+struct Peer {
+    addr: SocketAddr,
+    call: Option<CallId>,
+    due: Time,
+    heard: Option<(Time, Hello)>,
+}
+
+const HELLO_EVERY: Duration = Duration::from_secs(1);
+const HELLO_LIMIT: Duration = Duration::from_millis(1500);
+const TURN: Duration = Duration::from_millis(100);
+const LEAD_LIMIT: Duration = Duration::from_millis(1200);
+const TYPES_RETRY: Duration = Duration::from_secs(2);
+/// The state service counts as lost to this node after so long without a good answer.
+const STATE_LOST: Duration = Duration::from_millis(2500);
+const SUMMARY_EVERY: Duration = Duration::from_secs(10);
+/// What the nodes together leave of the budgets, for requests that are counted late.
+const HEADROOM: f64 = 0.92;
+
+pub struct Node {
+    settings: Settings,
+    tuning: Tuning,
+    transport: Transport,
+    store: Store,
+    leadership: Leadership,
+    office: Option<Office>,
+    front: Front,
+    purposes: HashMap<AskId, Purpose>,
+    peers: Vec<Peer>,
+    types: Vec<MachineType>,
+    types_due: Time,
+    types_call: Option<CallId>,
+    summary_at: Time,
+    turns: Option<Histogram<u64>>,
+}
+
+impl Node {
+    pub fn open(settings: Settings, tuning: Tuning) -> Result<Node, String> {
+        let service = &settings.settings;
+        let sockets = service.resources.sockets;
+        let mut transport = Transport::new(sockets).map_err(|e| format!("event loop: {e}"))?;
+        for (at, door) in [
+            (settings.front, Door::Front),
+            (settings.internal, Door::Internal),
+        ] {
+            transport
+                .listen(at, door)
+                .map_err(|e| format!("listening on {at}: {e}"))?;
+        }
+        let nodes = settings.peers.len() as f64 + 1.0;
+        // The leader spends the most, but any node may lead, and users reach all of them.
+        let share = if nodes > 1.0 {
+            HEADROOM * 0.5
+        } else {
+            HEADROOM
+        };
+        let store = Store::new(service.state.rps * share, service.state.write_rps * share);
+        let ttl = seconds(tuning.leader_lease_s);
+        let leadership = Leadership::new(&settings.name, ttl, fastrand::u64(..));
+        let front = Front::new(
+            service.teams.clone(),
+            service.state.value_kb,
+            service.state.txn_ops,
+        );
+        let peers = settings
+            .peers
+            .iter()
+            .map(|p| Peer {
+                addr: p.addr,
+                call: None,
+                due: Time::default(),
+                heard: None,
+            })
+            .collect();
+        let turns = log::log_enabled!(log::Level::Debug)
+            .then(|| Histogram::new_with_bounds(1, 60_000_000, 2).ok())
+            .flatten();
+        log::info!(
+            "{} in {} listens on {}",
+            settings.name,
+            settings.zone,
+            settings.front
+        );
+        Ok(Node {
+            transport,
+            store,
+            leadership,
+            office: None,
+            front,
+            purposes: HashMap::new(),
+            peers,
+            types: Vec::new(),
+            types_due: Time::default(),
+            types_call: None,
+            summary_at: Time::default(),
+            turns,
+            settings,
+            tuning,
+        })
+    }
+
+    /// Waits for something to happen, and does all that is due.
+    pub fn turn(&mut self) -> Result<(), String> {
+        let now = self.transport.now();
+        let until = now.after(TURN).min(self.leadership.next_wake().max(now));
+        self.transport
+            .wait(until)
+            .map_err(|e| format!("event loop: {e}"))?;
+        let started = self.turns.is_some().then(Instant::now);
+        while let Some(happening) = self.transport.happened() {
+            match happening {
+                Happening::Request {
+                    conn,
+                    door,
+                    request,
+                } => self.on_request(conn, door, request),
+                Happening::Reply { call, result } => self.on_reply(call, result),
+            }
+        }
+        self.due();
+        self.pump();
+        if let (Some(turns), Some(started)) = (&mut self.turns, started) {
+            turns.saturating_record(started.elapsed().as_micros() as u64);
+        }
+        Ok(())
+    }
+
+    // ---- requests
+
+    fn on_request(&mut self, conn: ConnId, door: Door, request: Request) {
+        let now = self.transport.now();
+        let path = request.target.split('?').next().unwrap_or("");
+        let method = request.method.as_str();
+        if door == Door::Internal {
+            let response = match (method, path) {
+                ("POST", peers::PATH) => self.on_hello(&request.body),
+                _ => Response::new(404, Vec::new()),
+            };
+            self.transport.respond(conn, &response);
+            return;
+        }
+        let job = path.strip_prefix("/api/jobs/");
+        let withdrawn = job.and_then(|j| j.strip_suffix("/withdraw"));
+        match (method, path, job, withdrawn) {
+            ("GET", "/healthz", ..) => {
+                let healthy = self.is_healthy(now);
+                let response = if healthy {
+                    Response::new(200, Vec::new())
+                } else {
+                    Response::later(503, 1)
+                };
+                self.transport.respond(conn, &response);
+            }
+            ("POST", "/agent/beat", ..) => {
+                let response = self.on_beat(&request.body);
+                self.transport.respond(conn, &response);
+            }
+            ("POST", "/api/jobs", ..) => {
+                self.front
+                    .submit(conn, &request.body, &self.types, time_of_day(), now);
+            }
+            ("POST", _, _, Some(id)) => self.front.withdraw(conn, id, now),
+            ("GET", _, Some(id), None) if !id.contains('/') => self.front.poll(conn, id, now),
+            (_, "/healthz" | "/agent/beat" | "/api/jobs", ..) | (_, _, _, Some(_)) => {
+                self.transport
+                    .respond(conn, &Response::new(405, Vec::new()));
+            }
+            (_, _, Some(id), None) if !id.contains('/') => {
+                self.transport
+                    .respond(conn, &Response::new(405, Vec::new()));
+            }
+            _ => self
+                .transport
+                .respond(conn, &Response::new(404, Vec::new())),
+        }
+    }
+
+    fn on_beat(&mut self, body: &[u8]) -> Response {
+        let report: Report = match decode(body) {
+            Ok(report) => report,
+            Err(e) => {
+                log::warn!("a report was not understood: {e}");
+                return Response::new(400, Vec::new());
+            }
+        };
+        let now = self.transport.now();
+        if let Some(office) = &mut self.office {
+            match office.controller.on_report(&report, now) {
+                Ok(orders) => {
+                    let token = office.controller.term;
+                    return Response::new(
+                        200,
+                        encode(&Answer {
+                            token,
+                            orders: &orders,
+                        }),
+                    );
+                }
+                Err(Deposed(term)) => self.deposed(term),
+            }
+        } else {
+            let wish = self.leadership.heard_of(report.token, None);
+            self.grant(wish);
+        }
+        let leader = self.leadership.leader.as_deref();
+        let leader = leader.filter(|l| *l != self.settings.name);
+        Response::new(421, encode(&Elsewhere { leader }))
+    }
+
+    fn deposed(&mut self, term: Term) {
+        log::info!("deposed: term {term} is in office");
+        let mut wish = self.leadership.heard_of(term, None);
+        if wish.is_none() && self.leadership.is_leading() {
+            wish = Some(self.leadership.step_down());
+        }
+        self.grant(wish);
+    }
+
+    fn hello(&self) -> Hello {
+        Hello {
+            from: self.settings.name.clone(),
+            term: self.leadership.term.0,
+            leader: self.leadership.leader.clone(),
+            state_ok: self.state_answers(self.transport.now()),
+        }
+    }
+
+    fn on_hello(&mut self, body: &[u8]) -> Response {
+        match peers::decode(body) {
+            Some(hello) => {
+                self.heard_peer(hello);
+                Response::new(200, peers::encode(&self.hello()))
+            }
+            None => Response::new(400, Vec::new()),
+        }
+    }
+
+    fn heard_peer(&mut self, hello: Hello) {
+        let now = self.transport.now();
+        let known = self
+            .settings
+            .peers
+            .iter()
+            .position(|p| p.name == hello.from);
+        let wish = self
+            .leadership
+            .heard_of(Term(hello.term), hello.leader.as_deref());
+        if let Some(peer) = known.and_then(|i| self.peers.get_mut(i)) {
+            peer.heard = Some((now, hello));
+        }
+        self.grant(wish);
+    }
+
+    fn state_answers(&self, now: Time) -> bool {
+        self.store
+            .good_at
+            .is_some_and(|at| now.since(at) < STATE_LOST)
+    }
+
+    /// A node that the state service does not answer can't serve users. It says so only if another
+    /// can: an outage that all see must not take all nodes out of the balancer.
+    fn is_healthy(&self, now: Time) -> bool {
+        let other_can = self.peers.iter().any(|p| {
+            p.heard
+                .as_ref()
+                .is_some_and(|(at, h)| h.state_ok && now.since(*at) < HELLO_EVERY * 3)
+        });
+        self.state_answers(now) || !other_can
+    }
+
+    // ---- replies
+
+    fn on_reply(&mut self, call: CallId, result: Result<Response, crate::transport::CallError>) {
+        let now = self.transport.now();
+        if let Some(peer) = self.peers.iter_mut().find(|p| p.call == Some(call)) {
+            peer.call = None;
+            if let Some(hello) = result.ok().and_then(|r| peers::decode(&r.body)) {
+                self.heard_peer(hello);
+            }
+            return;
+        }
+        if self.types_call == Some(call) {
+            self.types_call = None;
+            let types = result.ok().filter(|r| r.status == 200);
+            if let Some(types) = types.and_then(|r| decode::<MachineTypes>(&r.body).ok()) {
+                self.types = types.types;
+            }
+            return;
+        }
+        let mut result = Some(result);
+        if self.store.is_own(call) {
+            if let Some(result) = result.take() {
+                if let Some((id, outcome)) = self.store.answered(now, call, result) {
+                    self.on_outcome(id, outcome);
+                }
+            }
+            return;
+        }
+        if let (Some(office), Some(result)) = (&mut self.office, result) {
+            if let Err(Deposed(term)) = office.on_reply(&mut self.transport, call, result, now) {
+                self.deposed(term);
+            }
+        }
+    }
+
+    fn on_outcome(&mut self, id: AskId, outcome: Outcome) {
+        let now = self.transport.now();
+        match self.purposes.remove(&id) {
+            None => {}
+            Some(Purpose::Lead(Step::Read, _)) => {
+                let seen = match outcome {
+                    Outcome::Page(page) => Some(read_lead(&page)),
+                    _ => None,
+                };
+                let wish = self.leadership.on_read(seen, now);
+                self.grant(wish);
+            }
+            Some(Purpose::Lead(step, sent)) => {
+                let wish = self.leadership.on_outcome(step, outcome, sent, now);
+                self.grant(wish);
+            }
+            Some(Purpose::Office(term, ask)) => {
+                // What an earlier term of this process asked is of no interest any more.
+                if let Some(office) = self.office.as_mut().filter(|o| o.controller.term == term) {
+                    if let Err(Deposed(term)) = office.on_outcome(ask, outcome, now) {
+                        self.deposed(term);
+                    }
+                }
+            }
+            Some(Purpose::Front(ask)) => {
+                let office = &self.office;
+                let counts = |job| office.as_ref().and_then(|o| o.counts(job));
+                self.front.on_outcome(ask, outcome, &counts);
+            }
+            Some(Purpose::Types) => {
+                if let Outcome::Item(Some(item)) = outcome {
+                    if let Some(types) = item.record::<MachineTypes>() {
+                        self.types = types.types;
+                    }
+                } else {
+                    self.ask_cloud_for_types();
+                }
+            }
+        }
+    }
+
+    /// Before any leader has kept the types, every node asks the cloud itself.
+    fn ask_cloud_for_types(&mut self) {
+        if self.types_call.is_none() && self.types.is_empty() {
+            let cloud = self.settings.outside.cloud;
+            let limit = Duration::from_secs(4);
+            self.types_call = Some(
+                self.transport
+                    .call(cloud, "GET", "/machine_types", &[], limit),
+            );
+        }
+    }
+
+    // ---- leadership
+
+    fn grant(&mut self, wish: Option<Wish>) {
+        let now = self.transport.now();
+        let Some(wish) = wish else { return };
+        let (step, ask) = match wish {
+            Wish::Read => {
+                let prefix = records::LEAD.to_owned();
+                (
+                    Step::Read,
+                    Ask::List {
+                        prefix,
+                        after: String::new(),
+                        limit: 10,
+                    },
+                )
+            }
+            Wish::Grant(ttl) => (Step::Grant, Ask::Grant(ttl)),
+            Wish::Claim(txn) => (Step::Claim, Ask::Txn(txn)),
+            Wish::Renew(lease) => (Step::Renew, Ask::Extend(lease)),
+            Wish::End(lease) => (Step::End, Ask::End(lease)),
+            Wish::Lead { term, stamp } => return self.take_office(term, stamp, now),
+            Wish::StepDown => {
+                self.office = None;
+                return;
+            }
+        };
+        let id = self.store.ask(now, Class::Lease, ask, LEAD_LIMIT);
+        self.purposes.insert(id, Purpose::Lead(step, now));
+    }
+
+    fn take_office(&mut self, term: Term, stamp: Stamp, now: Time) {
+        let service = &self.settings.settings;
+        let rules = Rulebook::new(service, &self.tuning);
+        let controller = Controller::new(term, stamp, rules, self.types.clone(), now);
+        self.office = Some(Office::new(
+            controller,
+            self.settings.outside.cloud,
+            service.cloud.rps,
+            service.state.txn_ops,
+            seconds(self.tuning.batch_interval_s),
+            now,
+        ));
+        // The others learn at once where workers belong.
+        for peer in &mut self.peers {
+            peer.due = now;
+        }
+    }
+
+    // ---- time
+
+    fn due(&mut self) {
+        let now = self.transport.now();
+        let wish = self.leadership.tick(now);
+        self.grant(wish);
+        let hello = peers::encode(&self.hello());
+        for peer in &mut self.peers {
+            if peer.call.is_none() && now >= peer.due {
+                peer.due = now.after(HELLO_EVERY);
+                let call = self
+                    .transport
+                    .call(peer.addr, "POST", peers::PATH, &hello, HELLO_LIMIT);
+                peer.call = Some(call);
+            }
+        }
+        if let Some(office) = &self.office {
+            if !office.controller.types.is_empty() && self.types.is_empty() {
+                self.types = office.controller.types.clone();
+            }
+        }
+        if self.types.is_empty() && now >= self.types_due {
+            self.types_due = now.after(TYPES_RETRY);
+            let ask = Ask::Get(records::TYPES.to_owned());
+            let id = self.store.ask(now, Class::Booking, ask, LEAD_LIMIT);
+            self.purposes.insert(id, Purpose::Types);
+        }
+        self.front.expire(now);
+        if now >= self.summary_at {
+            self.summary_at = now.after(SUMMARY_EVERY);
+            self.tell();
+        }
+    }
+
+    fn tell(&mut self) {
+        if let Some(office) = &self.office {
+            log::info!("{}", office.controller.summary());
+        }
+        if let Some(turns) = &mut self.turns {
+            log::debug!(
+                "turns: {}, half within {} us, 99% within {} us, at most {} us",
+                turns.len(),
+                turns.value_at_quantile(0.5),
+                turns.value_at_quantile(0.99),
+                turns.max()
+            );
+            turns.reset();
+        }
+    }
+
+    /// Sends all that is ready and allowed.
+    fn pump(&mut self) {
+        let now = self.transport.now();
+        let certain = self.leadership.is_certain(now);
+        if let Some(office) = &mut self.office {
+            office.turn(&mut self.transport, &mut self.store.writes, certain, now);
+            let term = office.controller.term;
+            for (class, ask, limit, what) in office.take_wishes() {
+                let id = self.store.ask(now, class, ask, limit);
+                self.purposes.insert(id, Purpose::Office(term, what));
+            }
+        }
+        self.front.pump();
+        for act in self.front.take_acts() {
+            match act {
+                FrontAct::Respond(conn, response) => self.transport.respond(conn, &response),
+                FrontAct::Ask(class, ask, limit, what) => {
+                    let id = self.store.ask(now, class, ask, limit);
+                    self.purposes.insert(id, Purpose::Front(what));
+                }
+            }
+        }
+        while let Some(next) = self.store.next_outgoing(now) {
+            match next {
+                Ok(out) => {
+                    let state = self.settings.outside.state;
+                    let call =
+                        self.transport
+                            .call(state, out.method, &out.target, &out.body, out.limit);
+                    self.store.sent_as(out.id, call);
+                }
+                Err(id) => self.on_outcome(id, Outcome::Refused),
+            }
+        }
+    }
+}
+
+fn read_lead(page: &Page) -> Seen {
+    let mut seen = Seen::default();
+    for item in &page.items {
+        if item.key == records::HOLDER {
+            seen.holder = item.record::<HolderRecord>().map(|h| (h, item.stamp));
+        } else if item.key == records::TERM {
+            seen.term = item.record::<TermRecord>().map(|t| (t.term, item.stamp));
+        }
+    }
+    seen
+}
+
+fn time_of_day() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
+}
--- /dev/null
+++ b/src/node/office.rs
@@ -0,0 +1,572 @@
+//! The leader's duties towards the outside: reading the records, watching for jobs, writing
+//! batches, and talking to the cloud and to workers.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::bookkeeping::budget::Budget;
+use crate::bookkeeping::records;
+use crate::bookkeeping::store::{Ask, Class, Outcome};
+use crate::coordination::fleet::RentalResult;
+use crate::coordination::{Action, CommandResult, Controller, Deposed};
+use crate::protocol::cloud::{HostList, HostNames, ListedHost, MachineTypes, Rental, LIST_PAGE};
+use crate::protocol::state::{value, Change, Item, Page, Txn};
+use crate::protocol::workers::{Command, Order};
+use crate::protocol::{decode, encode};
+use crate::transport::{CallError, CallId, Response, Transport};
+use crate::types::{HostName, JobId, Session, Stamp, Time};
+
+/// Which request to the state service an outcome answers.
+#[derive(Clone, Debug)]
+pub enum OfficeAsk {
+    Live { after: String },
+    Runs { after: String },
+    Watch,
+    Batch,
+    Reread(JobId, u32),
+    Types,
+}
+
+/// Which call to a worker or the cloud a reply answers.
+#[derive(Debug)]
+enum OfficeCall {
+    Command {
+        host: HostName,
+        session: Session,
+        orders: Vec<Order>,
+    },
+    Rent(Rental),
+    Release(Vec<HostName>),
+    List,
+    Types,
+}
+
+const LOAD_PAGE: u32 = 200;
+const LOAD_LIMIT: Duration = Duration::from_secs(2);
+const BATCH_LIMIT: Duration = Duration::from_millis(1500);
+const WATCH_HOLD: Duration = Duration::from_secs(2);
+const WATCH_SLACK: Duration = Duration::from_millis(1500);
+const COMMAND_LIMIT: Duration = Duration::from_secs(4);
+const CLOUD_LIMIT: Duration = Duration::from_secs(6);
+const LIST_EVERY: Duration = Duration::from_secs(4);
+const TYPES_EVERY: Duration = Duration::from_secs(20);
+/// Below this share of the write budget only urgent records are written.
+const SPARE: f64 = 0.4;
+
+/// How often something is done, and whether it is being done.
+struct Chore {
+    every: Duration,
+    due: Time,
+    busy: bool,
+}
+
+impl Chore {
+    fn new(every: Duration, now: Time) -> Chore {
+        Chore {
+            every,
+            due: now,
+            busy: false,
+        }
+    }
+
+    fn starts(&mut self, now: Time) -> bool {
+        let starts = !self.busy && now >= self.due;
+        if starts {
+            self.busy = true;
+            self.due = now.after(self.every);
+        }
+        starts
+    }
+}
+
+pub struct Office {
+    pub controller: Controller,
+    cloud: SocketAddr,
+    cloud_budget: Budget,
+    calls: HashMap<CallId, OfficeCall>,
+    wishes: Vec<(Class, Ask, Duration, OfficeAsk)>,
+    watch_from: Stamp,
+    /// While the jobs are read again in full: those seen so far.
+    seen: Option<BTreeSet<JobId>>,
+    loaded: bool,
+    listing: Vec<ListedHost>,
+    list: Chore,
+    types: Chore,
+    types_written: bool,
+    batch_interval: Duration,
+    batch_at: Time,
+    txn_ops: usize,
+    waiting: Vec<Action>,
+}
+
+impl Office {
+    pub fn new(
+        controller: Controller,
+        cloud: SocketAddr,
+        cloud_rps: f64,
+        txn_ops: usize,
+        batch_interval: Duration,
+        now: Time,
+    ) -> Office {
+        let mut office = Office {
+            controller,
+            cloud,
+            cloud_budget: Budget::new(cloud_rps * 0.8, cloud_rps),
+            calls: HashMap::new(),
+            wishes: Vec::new(),
+            watch_from: Stamp(0),
+            seen: Some(BTreeSet::new()),
+            loaded: false,
+            listing: Vec::new(),
+            list: Chore::new(LIST_EVERY, now),
+            types: Chore::new(TYPES_EVERY, now),
+            types_written: false,
+            batch_interval,
+            batch_at: now,
+            txn_ops,
+            waiting: Vec::new(),
+        };
+        office.read_live(String::new());
+        office
+    }
+
+    pub fn take_wishes(&mut self) -> Vec<(Class, Ask, Duration, OfficeAsk)> {
+        std::mem::take(&mut self.wishes)
+    }
+
+    fn read_live(&mut self, after: String) {
+        let ask = Ask::List {
+            prefix: records::LIVE.to_owned(),
+            after: after.clone(),
+            limit: LOAD_PAGE,
+        };
+        self.wishes
+            .push((Class::Booking, ask, LOAD_LIMIT, OfficeAsk::Live { after }));
+    }
+
+    fn read_runs(&mut self, after: String) {
+        let ask = Ask::List {
+            prefix: records::RUN.to_owned(),
+            after: after.clone(),
+            limit: LOAD_PAGE,
+        };
+        self.wishes
+            .push((Class::Booking, ask, LOAD_LIMIT, OfficeAsk::Runs { after }));
+    }
+
+    fn watch(&mut self) {
+        let prefix = records::LIVE.to_owned();
+        let ask = Ask::Watch {
+            prefix,
+            after: self.watch_from,
+            hold: WATCH_HOLD,
+        };
+        self.wishes
+            .push((Class::Booking, ask, WATCH_SLACK, OfficeAsk::Watch));
+    }
+
+    // ---- outcomes of the state service
+
+    pub fn on_outcome(
+        &mut self,
+        ask: OfficeAsk,
+        outcome: Outcome,
+        now: Time,
+    ) -> Result<(), Deposed> {
+        match ask {
+            OfficeAsk::Live { after } => match outcome {
+                Outcome::Page(page) => self.on_live_page(after.is_empty(), page, now),
+                _ => self.read_live(after),
+            },
+            OfficeAsk::Runs { after } => match outcome {
+                Outcome::Page(page) => self.on_run_page(page, now),
+                _ => self.read_runs(after),
+            },
+            OfficeAsk::Watch => self.on_watch(outcome, now),
+            OfficeAsk::Batch => return self.on_batch(outcome, now),
+            OfficeAsk::Reread(job, chunk) => {
+                let Controller { ledger, jobs, .. } = &mut self.controller;
+                match outcome {
+                    Outcome::Item(item) => {
+                        let stamp = item.map_or(Stamp(0), |i| i.stamp);
+                        ledger.reread(jobs, job, chunk, stamp);
+                    }
+                    _ => ledger.still_unsure(job, chunk),
+                }
+            }
+            OfficeAsk::Types => self.types_written = matches!(outcome, Outcome::Applied(_)),
+        }
+        Ok(())
+    }
+
+    fn take_job(&mut self, item: &Item) {
+        let Some(id) = records::parse_live(&item.key) else {
+            return;
+        };
+        if let Some(seen) = &mut self.seen {
+            seen.insert(id);
+        }
+        if let Some(record) = item.record() {
+            self.controller.on_job(record, item.stamp);
+        }
+    }
+
+    fn on_live_page(&mut self, first: bool, page: Page, now: Time) {
+        if first {
+            // Whatever changes from here on is news; the later pages may show some of it already.
+            self.watch_from = page.revision;
+            self.seen = Some(BTreeSet::new());
+        }
+        for item in &page.items {
+            self.take_job(item);
+        }
+        if let Some(last) = page.items.last().filter(|_| page.more) {
+            self.read_live(last.key.clone());
+            return;
+        }
+        let seen = self.seen.take().unwrap_or_default();
+        if self.loaded {
+            let gone: Vec<JobId> = self
+                .controller
+                .jobs
+                .keys()
+                .copied()
+                .filter(|id| !seen.contains(id))
+                .collect();
+            for id in gone {
+                self.controller.on_job_gone(id, now);
+            }
+            self.watch();
+        } else {
+            self.read_runs(String::new());
+        }
+    }
+
+    fn on_run_page(&mut self, page: Page, now: Time) {
+        for item in &page.items {
+            let Some((job, chunk)) = records::parse_run(&item.key) else {
+                continue;
+            };
+            if let Some(record) = item.record() {
+                self.controller
+                    .on_run_record(job, chunk, &record, item.stamp, now);
+            }
+        }
+        if let Some(last) = page.items.last().filter(|_| page.more) {
+            self.read_runs(last.key.clone());
+            return;
+        }
+        self.loaded = true;
+        self.controller.on_loaded(now);
+        log::info!("records read: {}", self.controller.summary());
+        self.watch();
+    }
+
+    fn on_watch(&mut self, outcome: Outcome, now: Time) {
+        match outcome {
+            Outcome::News(news) => {
+                self.watch_from = self.watch_from.max(news.revision);
+                for event in news.events {
+                    if let (Some(key), Some(value)) = (event.put, event.value) {
+                        self.take_job(&Item {
+                            key,
+                            value,
+                            stamp: event.stamp,
+                        });
+                    } else if let Some(id) = event.delete.as_deref().and_then(records::parse_live) {
+                        self.controller.on_job_gone(id, now);
+                    }
+                }
+                self.watch();
+            }
+            Outcome::TooOld => self.read_live(String::new()),
+            _ => self.watch(),
+        }
+    }
+
+    fn on_batch(&mut self, outcome: Outcome, now: Time) -> Result<(), Deposed> {
+        let Controller { ledger, jobs, .. } = &mut self.controller;
+        let verdict = match outcome {
+            Outcome::Applied(revision) => ledger.applied(jobs, revision, now),
+            Outcome::Conflict(failed) => ledger.conflict(jobs, &failed),
+            Outcome::Unknown => {
+                ledger.lost();
+                return Ok(());
+            }
+            _ => {
+                ledger.refused();
+                return Ok(());
+            }
+        };
+        self.controller.on_verdict(verdict, now)
+    }
+
+    // ---- time
+
+    /// Everything that is due: decisions, the next batch, calls to workers and the cloud.
+    pub fn turn(
+        &mut self,
+        transport: &mut Transport,
+        writes: &mut Budget,
+        certain: bool,
+        now: Time,
+    ) {
+        self.controller.tick(now, certain);
+        self.commit(writes, now);
+        for (job, chunk) in self.controller.ledger.take_unsure() {
+            let ask = Ask::Get(records::run_key(job, chunk));
+            self.wishes.push((
+                Class::Booking,
+                ask,
+                BATCH_LIMIT,
+                OfficeAsk::Reread(job, chunk),
+            ));
+        }
+        if certain {
+            self.chores(transport, now);
+        }
+        let mut actions = std::mem::take(&mut self.waiting);
+        actions.extend(self.controller.take_actions());
+        for action in actions {
+            self.act(transport, action, now);
+        }
+    }
+
+    fn commit(&mut self, writes: &mut Budget, now: Time) {
+        let ledger = &self.controller.ledger;
+        if !ledger.is_idle() || now < self.batch_at {
+            return;
+        }
+        if !ledger.has_urgent() && writes.share(now) < SPARE {
+            return;
+        }
+        // At least what finishing one job takes, else a small budget would never allow it.
+        let affordable = writes.available(now).max(0.0) as usize;
+        let most = affordable.min(self.txn_ops);
+        if most < 3 {
+            return;
+        }
+        if let Some(txn) = self.controller.next_batch(most) {
+            self.batch_at = now.after(self.batch_interval);
+            self.wishes
+                .push((Class::Booking, Ask::Txn(txn), BATCH_LIMIT, OfficeAsk::Batch));
+        }
+    }
+
+    fn chores(&mut self, transport: &mut Transport, now: Time) {
+        if self.cloud_budget.available(now) < 2.0 {
+            return;
+        }
+        if self.types.starts(now) {
+            self.ask_cloud(
+                transport,
+                "GET",
+                "/machine_types",
+                &[],
+                OfficeCall::Types,
+                now,
+            );
+        }
+        if self.list.starts(now) {
+            self.listing.clear();
+            self.list_page(transport, "", now);
+        }
+    }
+
+    fn list_page(&mut self, transport: &mut Transport, after: &str, now: Time) {
+        let target = if after.is_empty() {
+            format!("/hosts?page={LIST_PAGE}")
+        } else {
+            format!("/hosts?after={after}&page={LIST_PAGE}")
+        };
+        self.ask_cloud(transport, "GET", &target, &[], OfficeCall::List, now);
+    }
+
+    fn ask_cloud(
+        &mut self,
+        transport: &mut Transport,
+        method: &str,
+        target: &str,
+        body: &[u8],
+        what: OfficeCall,
+        now: Time,
+    ) {
+        self.cloud_budget.spend(now, 1.0);
+        let call = transport.call(self.cloud, method, target, body, CLOUD_LIMIT);
+        self.calls.insert(call, what);
+    }
+
+    fn act(&mut self, transport: &mut Transport, action: Action, now: Time) {
+        match action {
+            Action::Command {
+                host,
+                to,
+                session,
+                orders,
+            } => {
+                let token = self.controller.term;
+                let body = encode(&Command {
+                    token,
+                    session,
+                    orders: &orders,
+                });
+                let call = transport.call(to, "POST", "/commands", &body, COMMAND_LIMIT);
+                self.calls.insert(
+                    call,
+                    OfficeCall::Command {
+                        host,
+                        session,
+                        orders,
+                    },
+                );
+            }
+            action if self.cloud_budget.available(now) < 1.0 => self.waiting.push(action),
+            Action::Rent(rental) => {
+                let body = encode(&rental);
+                self.ask_cloud(
+                    transport,
+                    "POST",
+                    "/hosts",
+                    &body,
+                    OfficeCall::Rent(rental),
+                    now,
+                );
+            }
+            Action::Release(hosts) => {
+                let names = HostNames { hosts };
+                let body = encode(&names);
+                let what = OfficeCall::Release(names.hosts);
+                self.ask_cloud(transport, "POST", "/hosts/release", &body, what, now);
+            }
+        }
+    }
+
+    /// Takes the reply to one of the office's calls; `None` if it was not its call.
+    pub fn on_reply(
+        &mut self,
+        transport: &mut Transport,
+        call: CallId,
+        result: Result<Response, CallError>,
+        now: Time,
+    ) -> Result<(), Deposed> {
+        let Some(what) = self.calls.remove(&call) else {
+            return Ok(());
+        };
+        if matches!(&result, Ok(r) if r.status == 429) {
+            self.cloud_budget.back_off(now, Duration::from_millis(500));
+        }
+        match what {
+            OfficeCall::Command {
+                host,
+                session,
+                orders,
+            } => {
+                let result = command_result(result);
+                return self
+                    .controller
+                    .on_commanded(&host, session, &orders, result, now);
+            }
+            OfficeCall::Rent(rental) => {
+                self.controller
+                    .on_rented(&rental.request, rental_result(result), now);
+            }
+            OfficeCall::Release(names) => {
+                let confirmed = matches!(&result, Ok(r) if r.status == 200);
+                self.controller.on_released(&names, confirmed, now);
+            }
+            OfficeCall::List => self.on_list(transport, result, now),
+            OfficeCall::Types => {
+                self.types.busy = false;
+                let types = result.ok().filter(|r| r.status == 200);
+                if let Some(types) = types.and_then(|r| decode::<MachineTypes>(&r.body).ok()) {
+                    self.controller.on_types(types.types);
+                    self.write_types();
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn on_list(
+        &mut self,
+        transport: &mut Transport,
+        result: Result<Response, CallError>,
+        now: Time,
+    ) {
+        let page = result
+            .ok()
+            .filter(|r| r.status == 200)
+            .and_then(|r| decode::<HostList>(&r.body).ok());
+        let Some(page) = page else {
+            self.list.busy = false;
+            return;
+        };
+        let more = page.truncated;
+        self.listing.extend(page.hosts);
+        let last = self.listing.last().map(|h| h.name.clone());
+        if let Some(last) = last.filter(|_| more) {
+            self.list_page(transport, last.as_str(), now);
+            return;
+        }
+        self.list.busy = false;
+        let listed = std::mem::take(&mut self.listing);
+        self.controller.on_listed(&listed, now);
+    }
+
+    /// Keeps the types for restarts during an outage of the cloud, once a term.
+    fn write_types(&mut self) {
+        if self.types_written || self.controller.types.is_empty() {
+            return;
+        }
+        let types = MachineTypes {
+            types: self.controller.types.clone(),
+        };
+        let mut txn = Txn::default();
+        txn.require(records::HOLDER.to_owned(), self.controller.ledger.holder());
+        txn.changes
+            .push(Change::put(records::TYPES.to_owned(), value(&types)));
+        self.wishes
+            .push((Class::Booking, Ask::Txn(txn), BATCH_LIMIT, OfficeAsk::Types));
+    }
+
+    /// Tells of a job's tasks without a read, if this leader has it in its picture.
+    pub fn counts(&self, job: JobId) -> Option<(u64, u64)> {
+        let job = self.controller.jobs.get(&job).filter(|_| self.loaded)?;
+        Some((u64::from(job.done), u64::from(job.booked)))
+    }
+}
+
+fn command_result(result: Result<Response, CallError>) -> CommandResult {
+    match result {
+        Ok(r) if matches!(r.status, 200 | 409) => match decode(&r.body) {
+            Ok(report) => CommandResult::Report(Box::new(report)),
+            Err(_) => CommandResult::Lost,
+        },
+        Ok(r) if r.status == 400 => CommandResult::NotSent,
+        Ok(_) | Err(CallError::Lost) => CommandResult::Lost,
+        Err(CallError::NotSent) => CommandResult::NotSent,
+    }
+}
+
+fn rental_result(result: Result<Response, CallError>) -> RentalResult {
+    match result {
+        Ok(r) if r.status == 200 => match decode::<HostNames>(&r.body) {
+            Ok(names) => RentalResult::Rented(names.hosts),
+            Err(_) => RentalResult::Unknown,
+        },
+        Ok(r) if r.status == 503 && !is_trouble(&r.body) => RentalResult::NoCapacity,
+        Ok(r) if matches!(r.status, 400 | 429 | 503) => RentalResult::Refused,
+        Ok(_) | Err(CallError::Lost) => RentalResult::Unknown,
+        Err(CallError::NotSent) => RentalResult::Refused,
+    }
+}
+
+/// An outage also answers 503, with another word.
+fn is_trouble(body: &[u8]) -> bool {
+    #[derive(serde::Deserialize)]
+    struct Why {
+        error: String,
+    }
+    decode::<Why>(body).map_or(true, |w| w.error != "no capacity")
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,255 @@
+//! The platform's settings (JSON) and the operators' own tuning (YAML).
+
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use crate::types::seconds;
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    #[serde(rename = "host_name")]
+    pub name: String,
+    #[serde(rename = "area")]
+    pub zone: String,
+    pub front: SocketAddr,
+    #[serde(rename = "internal_addr")]
+    pub internal: SocketAddr,
+    #[serde(rename = "others", default, deserialize_with = "null_is_empty")]
+    pub peers: Vec<Peer>,
+    pub outside: Outside,
+    pub settings: Service,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Peer {
+    #[serde(rename = "host_name")]
+    pub name: String,
+    #[serde(rename = "area")]
+    pub zone: String,
+    pub addr: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Outside {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Service {
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    pub workers: Workers,
+    pub state: State,
+    pub cloud: Cloud,
+    pub resources: Resources,
+}
+
+/// A team's guarantee and limit. A limit of 0 means none; a guarantee of 0 guarantees nothing.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: Option<f64>,
+    #[serde(default)]
+    pub cpus_max: Option<f64>,
+    #[serde(default)]
+    pub gpus: Option<f64>,
+    #[serde(default)]
+    pub gpus_max: Option<f64>,
+}
+
+impl Team {
+    pub fn guaranteed(&self) -> (f64, f64) {
+        (self.cpus.unwrap_or(0.0), self.gpus.unwrap_or(0.0))
+    }
+
+    pub fn limits(&self) -> (f64, f64) {
+        let open = |limit: Option<f64>| limit.filter(|l| *l > 0.0).unwrap_or(f64::INFINITY);
+        (open(self.cpus_max), open(self.gpus_max))
+    }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+impl Workers {
+    pub fn report(&self) -> Duration {
+        seconds(self.report_s)
+    }
+
+    pub fn lease(&self) -> Duration {
+        seconds(self.lease_s)
+    }
+
+    pub fn cancel(&self) -> Duration {
+        seconds(self.cancel_s)
+    }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct State {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Cloud {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Resources {
+    pub sockets: usize,
+}
+
+fn null_is_empty<'de, D, T>(d: D) -> Result<Vec<T>, D::Error>
+where
+    D: serde::Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    Ok(Option::<Vec<T>>::deserialize(d)?.unwrap_or_default())
+}
+
+impl Settings {
+    pub fn load(file: &Path) -> Result<Settings, String> {
+        let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+        Settings::parse(&text).map_err(|e| format!("{}: {e}", file.display()))
+    }
+
+    pub fn parse(text: &str) -> Result<Settings, String> {
+        let settings: Settings = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let s = &self.settings;
+        let positive = [
+            ("settings.workers.report_s", s.workers.report_s),
+            ("settings.workers.lease_s", s.workers.lease_s),
+            ("settings.workers.cancel_s", s.workers.cancel_s),
+            ("settings.state.rps", s.state.rps),
+            ("settings.state.write_rps", s.state.write_rps),
+            ("settings.state.value_kb", s.state.value_kb),
+            ("settings.cloud.rps", s.cloud.rps),
+        ];
+        for (field, value) in positive {
+            if !(value.is_finite() && value > 0.0) {
+                return Err(format!("{field}: must be above 0, is {value}"));
+            }
+        }
+        if !(s.cloud.list_lag_s.is_finite() && s.cloud.list_lag_s >= 0.0) {
+            return Err("settings.cloud.list_lag_s: must not be negative".into());
+        }
+        if s.workers.lease_s <= s.workers.report_s {
+            return Err("settings.workers.lease_s: must be above report_s".into());
+        }
+        if s.state.txn_ops < 4 {
+            return Err("settings.state.txn_ops: at least 4 are needed to finish a job".into());
+        }
+        if s.resources.sockets < 32 {
+            return Err("settings.resources.sockets: at least 32 are needed".into());
+        }
+        if s.zones.is_empty() {
+            return Err("settings.zones: names no zone".into());
+        }
+        if self.name.is_empty() {
+            return Err("host_name: is empty".into());
+        }
+        for (i, peer) in self.peers.iter().enumerate() {
+            if peer.name == self.name || self.peers[..i].iter().any(|p| p.name == peer.name) {
+                return Err(format!("others: {} stands there twice", peer.name));
+            }
+        }
+        for (i, team) in s.teams.iter().enumerate() {
+            if s.teams[..i].iter().any(|t| t.name == team.name) {
+                return Err(format!("settings.teams: {} stands there twice", team.name));
+            }
+            let amounts = [team.cpus, team.cpus_max, team.gpus, team.gpus_max];
+            if amounts
+                .iter()
+                .flatten()
+                .any(|a| !(a.is_finite() && *a >= 0.0))
+            {
+                return Err(format!(
+                    "settings.teams: {} has a negative amount",
+                    team.name
+                ));
+            }
+            let (guaranteed, limits) = (team.guaranteed(), team.limits());
+            if guaranteed.0 > limits.0 || guaranteed.1 > limits.1 {
+                return Err(format!(
+                    "settings.teams: {} is guaranteed more than its limit",
+                    team.name
+                ));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// What operators may tune; every field has a default and a checked range.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+pub struct Tuning {
+    /// How long the leader's lease lasts without a renewal.
+    pub leader_lease_s: f64,
+    /// The least time between two batches of records.
+    pub batch_interval_s: f64,
+    /// How long a machine may idle before it is cordoned and returned.
+    pub idle_return_s: f64,
+    /// A machine silent for this many report intervals is given up.
+    pub silent_reports: f64,
+    /// A rented machine that is not up after this many times its boot time is replaced.
+    pub boot_patience: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Tuning {
+        Tuning {
+            leader_lease_s: 3.0,
+            batch_interval_s: 0.0,
+            idle_return_s: 25.0,
+            silent_reports: 3.5,
+            boot_patience: 2.5,
+        }
+    }
+}
+
+impl Tuning {
+    pub fn load(file: &Path) -> Result<Tuning, String> {
+        let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+        Tuning::parse(&text).map_err(|e| format!("{}: {e}", file.display()))
+    }
+
+    pub fn parse(text: &str) -> Result<Tuning, String> {
+        // An empty file is an ordinary way to say "all defaults".
+        let tuning: Option<Tuning> = serde_norway::from_str(text).map_err(|e| e.to_string())?;
+        let tuning = tuning.unwrap_or_default();
+        let ranges = [
+            ("leader_lease_s", tuning.leader_lease_s, 1.0, 60.0),
+            ("batch_interval_s", tuning.batch_interval_s, 0.0, 10.0),
+            ("idle_return_s", tuning.idle_return_s, 0.0, 86_400.0),
+            ("silent_reports", tuning.silent_reports, 2.0, 100.0),
+            ("boot_patience", tuning.boot_patience, 1.5, 100.0),
+        ];
+        for (field, value, least, most) in ranges {
+            if !(least..=most).contains(&value) {
+                return Err(format!(
+                    "{field}: must be from {least} to {most}, is {value}"
+                ));
+            }
+        }
+        Ok(tuning)
+    }
+}
--- /dev/null
+++ b/src/transport/event_loop.rs
@@ -0,0 +1,397 @@
+//! The event loop: every socket of the process, their time limits, and the limit of sockets.
+
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token};
+use slab::Slab;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use super::client::{self, CallError, CallId, ClientConn};
+use super::http::{self, Request, Response};
+use super::server::{self, ConnId, ServerConn};
+use super::timers::Timers;
+use crate::types::Time;
+
+/// What the outside did.
+#[derive(Debug)]
+pub enum Happening {
+    /// `door` tells which of the listening addresses it came through.
+    Request {
+        conn: ConnId,
+        door: Door,
+        request: Request,
+    },
+    Reply {
+        call: CallId,
+        result: Result<Response, CallError>,
+    },
+}
+
+/// The addresses that a node listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Door {
+    /// Users, workers and health checks.
+    Front,
+    /// The service's own processes.
+    Internal,
+}
+
+enum Socket {
+    Listener(TcpListener, Door),
+    Server(Box<ServerConn>),
+    Client(Box<ClientConn>),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Deadline {
+    Call(CallId, usize),
+    Conn(ConnId),
+}
+
+/// A peer must finish a request it began, or read its response, within this time.
+const SLOW: Duration = Duration::from_secs(10);
+/// A connection without requests is closed after this time.
+const IDLE: Duration = Duration::from_secs(90);
+/// Kept idle connections to one address.
+const KEPT: usize = 8;
+/// Accepts at one wake-up, so that a flood can't keep other work waiting.
+const ACCEPTS: usize = 64;
+
+pub struct Transport {
+    poll: Poll,
+    events: Events,
+    start: Instant,
+    sockets: Slab<Socket>,
+    serial: u64,
+    kept: HashMap<SocketAddr, Vec<usize>>,
+    deadlines: Timers<Deadline>,
+    happened: VecDeque<Happening>,
+    max_sockets: usize,
+    accept_again: Vec<usize>,
+}
+
+impl Transport {
+    pub fn new(max_sockets: usize) -> std::io::Result<Transport> {
+        Ok(Transport {
+            poll: Poll::new()?,
+            events: Events::with_capacity(256),
+            start: Instant::now(),
+            sockets: Slab::new(),
+            serial: 0,
+            kept: HashMap::new(),
+            deadlines: Timers::default(),
+            happened: VecDeque::new(),
+            // The poller, standard streams and the like need some of them.
+            max_sockets: max_sockets.saturating_sub(8),
+            accept_again: Vec::new(),
+        })
+    }
+
+    pub fn now(&self) -> Time {
+        Time(self.start.elapsed().as_millis() as u64)
+    }
+
+    pub fn listen(&mut self, at: SocketAddr, door: Door) -> std::io::Result<()> {
+        let mut listener = TcpListener::bind(at)?;
+        let entry = self.sockets.vacant_entry();
+        self.poll
+            .registry()
+            .register(&mut listener, Token(entry.key()), Interest::READABLE)?;
+        entry.insert(Socket::Listener(listener, door));
+        Ok(())
+    }
+
+    /// Waits until something happens, at most until `until`.
+    pub fn wait(&mut self, until: Time) -> std::io::Result<()> {
+        let mut wait = until.since(self.now());
+        if let Some(next) = self.deadlines.next() {
+            wait = wait.min(next.since(self.now()));
+        }
+        if !self.happened.is_empty() || !self.accept_again.is_empty() {
+            wait = Duration::ZERO;
+        }
+        match self.poll.poll(&mut self.events, Some(wait)) {
+            Err(e) if e.kind() == std::io::ErrorKind::Interrupted => return Ok(()),
+            other => other?,
+        }
+        let ready: Vec<(usize, bool, bool)> = self
+            .events
+            .iter()
+            .map(|e| {
+                let broken = e.is_error() || e.is_read_closed();
+                let readable = e.is_readable() || broken;
+                let writable = e.is_writable() || e.is_error() || e.is_write_closed();
+                (e.token().0, readable, writable)
+            })
+            .collect();
+        for slot in std::mem::take(&mut self.accept_again) {
+            self.accept(slot);
+        }
+        for (slot, readable, writable) in ready {
+            self.ready(slot, readable, writable);
+        }
+        let now = self.now();
+        while let Some(deadline) = self.deadlines.due(now) {
+            self.expired(deadline, now);
+        }
+        Ok(())
+    }
+
+    pub fn happened(&mut self) -> Option<Happening> {
+        self.happened.pop_front()
+    }
+
+    fn ready(&mut self, slot: usize, readable: bool, writable: bool) {
+        let now = self.now();
+        match self.sockets.get_mut(slot) {
+            None => {}
+            Some(Socket::Listener(..)) => self.accept(slot),
+            Some(Socket::Server(conn)) => {
+                let mut request = None;
+                if writable {
+                    request = conn.writable(now);
+                }
+                if readable && request.is_none() {
+                    request = conn.readable(now);
+                }
+                self.served(slot, request);
+            }
+            Some(Socket::Client(conn)) => {
+                let result = conn.ready(readable, writable);
+                self.called(slot, result);
+            }
+        }
+    }
+
+    fn accept(&mut self, slot: usize) {
+        for _ in 0..ACCEPTS {
+            let Some(Socket::Listener(listener, door)) = self.sockets.get(slot) else {
+                return;
+            };
+            let door = *door;
+            match listener.accept() {
+                Ok((stream, _)) => self.accepted(stream, door),
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {}
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(e) => {
+                    log::debug!("accept: {e}");
+                    self.close_an_idle_one();
+                    return;
+                }
+            }
+        }
+        self.accept_again.push(slot);
+    }
+
+    fn accepted(&mut self, mut stream: TcpStream, door: Door) {
+        // A quarter stays for our own calls, so that users can't cut us off from our sources.
+        if self.sockets.len() >= self.max_sockets * 3 / 4 && !self.close_an_idle_one() {
+            return;
+        }
+        let _ = stream.set_nodelay(true);
+        let now = self.now();
+        self.serial += 1;
+        let entry = self.sockets.vacant_entry();
+        let id = ConnId {
+            slot: entry.key(),
+            serial: self.serial,
+        };
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        if let Err(e) = self
+            .poll
+            .registry()
+            .register(&mut stream, Token(id.slot), interest)
+        {
+            log::debug!("register: {e}");
+            return;
+        }
+        entry.insert(Socket::Server(Box::new(ServerConn::new(
+            stream, id, door, now,
+        ))));
+        self.deadlines.set(now.after(SLOW), Deadline::Conn(id));
+    }
+
+    /// Makes room for a socket by closing the one that has been idle longest.
+    fn close_an_idle_one(&mut self) -> bool {
+        let oldest = self
+            .sockets
+            .iter()
+            .filter_map(|(slot, s)| match s {
+                Socket::Server(c) if c.is_idle() => Some((c.last_used, slot)),
+                _ => None,
+            })
+            .min();
+        if let Some((_, slot)) = oldest {
+            self.drop_socket(slot);
+        }
+        oldest.is_some()
+    }
+
+    fn drop_socket(&mut self, slot: usize) {
+        if let Some(mut socket) = self.sockets.try_remove(slot) {
+            let _ = match &mut socket {
+                Socket::Listener(l, _) => self.poll.registry().deregister(l),
+                Socket::Server(c) => self.poll.registry().deregister(c.stream()),
+                Socket::Client(c) => {
+                    if let Some(kept) = self.kept.get_mut(&c.to) {
+                        kept.retain(|s| *s != slot);
+                    }
+                    self.poll.registry().deregister(c.stream())
+                }
+            };
+        }
+    }
+
+    fn served(&mut self, slot: usize, request: Option<Request>) {
+        let Some(Socket::Server(conn)) = self.sockets.get(slot) else {
+            return;
+        };
+        let (conn, door, phase) = (conn.id, conn.door, conn.phase);
+        if let Some(request) = request {
+            self.happened.push_back(Happening::Request {
+                conn,
+                door,
+                request,
+            });
+        }
+        if phase == server::Phase::Closed {
+            self.drop_socket(slot);
+        }
+    }
+
+    fn called(&mut self, slot: usize, result: Option<Result<Response, CallError>>) {
+        let Some(Socket::Client(conn)) = self.sockets.get(slot) else {
+            return;
+        };
+        let (call, phase, to) = (conn.call, conn.phase, conn.to);
+        if let Some(result) = result {
+            self.happened.push_back(Happening::Reply { call, result });
+        }
+        match phase {
+            client::Phase::Closed => self.drop_socket(slot),
+            client::Phase::Idle => {
+                let kept = self.kept.entry(to).or_default();
+                if !kept.contains(&slot) {
+                    kept.push(slot);
+                }
+                if kept.len() > KEPT {
+                    let oldest = kept[0];
+                    self.drop_socket(oldest);
+                }
+            }
+            client::Phase::Connecting | client::Phase::Busy => {}
+        }
+    }
+
+    fn expired(&mut self, deadline: Deadline, now: Time) {
+        match deadline {
+            Deadline::Call(call, slot) => {
+                let Some(Socket::Client(conn)) = self.sockets.get_mut(slot) else {
+                    return;
+                };
+                let waiting = matches!(conn.phase, client::Phase::Connecting | client::Phase::Busy);
+                if conn.call == call && waiting {
+                    let result = conn.fail();
+                    self.called(slot, result);
+                }
+            }
+            Deadline::Conn(id) => {
+                let Some(Socket::Server(conn)) = self.sockets.get(id.slot) else {
+                    return;
+                };
+                if conn.id != id {
+                    return;
+                }
+                let limit = match conn.phase {
+                    server::Phase::Reading if conn.is_idle() => IDLE,
+                    // Its time limit is the service's matter.
+                    server::Phase::Serving => IDLE,
+                    _ => SLOW,
+                };
+                let serving = conn.phase == server::Phase::Serving;
+                let last_used = conn.last_used;
+                if !serving && now.since(last_used) >= limit {
+                    self.drop_socket(id.slot);
+                } else {
+                    let again = last_used
+                        .after(limit)
+                        .max(now.after(Duration::from_secs(1)));
+                    self.deadlines.set(again, Deadline::Conn(id));
+                }
+            }
+        }
+    }
+
+    /// Answers a request. If its connection is gone, so is the answer.
+    pub fn respond(&mut self, conn: ConnId, response: &Response) {
+        let now = self.now();
+        let Some(Socket::Server(c)) = self.sockets.get_mut(conn.slot) else {
+            return;
+        };
+        if c.id == conn {
+            let next = c.respond(response, now);
+            self.served(conn.slot, next);
+        }
+    }
+
+    /// Sends a request; its outcome comes as a [`Happening::Reply`], at the latest after `limit`.
+    pub fn call(
+        &mut self,
+        to: SocketAddr,
+        method: &str,
+        target: &str,
+        body: &[u8],
+        limit: Duration,
+    ) -> CallId {
+        self.serial += 1;
+        let call = CallId(self.serial);
+        let mut request = Vec::with_capacity(body.len() + 160);
+        http::write_request(&mut request, &to.to_string(), method, target, body);
+        let deadline = self.now().after(limit);
+        if let Some(slot) = self.kept.get_mut(&to).and_then(Vec::pop) {
+            if let Some(Socket::Client(conn)) = self.sockets.get_mut(slot) {
+                let result = conn.reuse(call, request);
+                self.deadlines.set(deadline, Deadline::Call(call, slot));
+                self.called(slot, result);
+                return call;
+            }
+            self.not_sent(call);
+            return call;
+        }
+        if self.sockets.len() >= self.max_sockets && !self.close_an_idle_one() {
+            self.not_sent(call);
+            return call;
+        }
+        match ClientConn::connect(to, call, request) {
+            Ok(mut conn) => {
+                let entry = self.sockets.vacant_entry();
+                let slot = entry.key();
+                let interest = Interest::READABLE | Interest::WRITABLE;
+                let registered =
+                    self.poll
+                        .registry()
+                        .register(conn.stream(), Token(slot), interest);
+                if registered.is_ok() {
+                    entry.insert(Socket::Client(Box::new(conn)));
+                    self.deadlines.set(deadline, Deadline::Call(call, slot));
+                } else {
+                    self.not_sent(call);
+                }
+            }
+            Err(e) => {
+                log::debug!("connect to {to}: {e}");
+                self.not_sent(call);
+            }
+        }
+        call
+    }
+
+    fn not_sent(&mut self, call: CallId) {
+        self.happened.push_back(Happening::Reply {
+            call,
+            result: Err(CallError::NotSent),
+        });
+    }
+}
--- /dev/null
+++ b/src/types.rs
@@ -0,0 +1,165 @@
+//! Ids, versions and times, each a small type of its own.
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+    };
+}
+
+number!(
+    /// The leader's term. It is also the fencing token that workers check.
+    Term
+);
+number!(
+    /// A worker's session; a new one begins whenever its lease ran out.
+    Session
+);
+number!(
+    /// Orders the messages of one worker session.
+    Tick
+);
+number!(
+    /// Which attempt at a task this is; numbers only grow.
+    Attempt
+);
+number!(
+    /// The revision at which a key of the state service last changed; 0 means absent.
+    Stamp
+);
+number!(
+    /// A lease of the state service.
+    LeaseId
+);
+
+/// A point on this process's steady clock, in milliseconds since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Time(pub u64);
+
+impl Time {
+    pub fn after(self, span: Duration) -> Time {
+        Time(self.0.saturating_add(span.as_millis() as u64))
+    }
+
+    /// Time passed since `earlier`, zero if that lies ahead.
+    pub fn since(self, earlier: Time) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+/// A duration from a settings or protocol number; nonsense becomes zero, not a panic.
+pub fn seconds(s: f64) -> Duration {
+    Duration::try_from_secs_f64(s.max(0.0)).unwrap_or(Duration::MAX / 4)
+}
+
+/// A job's id: `job-` and a number of at least six digits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct JobId(pub u64);
+
+impl JobId {
+    pub fn parse(text: &str) -> Option<JobId> {
+        let digits = text.strip_prefix("job-")?;
+        let plain = digits.bytes().all(|b| b.is_ascii_digit());
+        // More than six digits never start with a zero, so that one job has one spelling.
+        let canonical = digits.len() == 6 || (digits.len() > 6 && !digits.starts_with('0'));
+        if !plain || !canonical || digits.len() > 18 {
+            return None;
+        }
+        digits.parse().ok().map(JobId)
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "job-{:06}", self.0)
+    }
+}
+
+/// One task of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+impl TaskId {
+    pub fn parse(text: &str) -> Option<TaskId> {
+        let (job, index) = text.split_once('/')?;
+        let index = index.parse().ok()?;
+        JobId::parse(job).map(|job| TaskId { job, index })
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+macro_rules! textual {
+    ($name:ident) => {
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+                s.collect_str(self)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+                let text = String::deserialize(d)?;
+                $name::parse(&text)
+                    .ok_or_else(|| serde::de::Error::custom(concat!("not a ", stringify!($name))))
+            }
+        }
+    };
+}
+
+textual!(JobId);
+textual!(TaskId);
+
+/// A machine's name. Names sort in the order of creation.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct HostName(Arc<str>);
+
+impl HostName {
+    pub fn new(name: &str) -> HostName {
+        HostName(name.into())
+    }
+
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for HostName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl Serialize for HostName {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.serialize_str(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for HostName {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        String::deserialize(d).map(|s| HostName::new(&s))
+    }
+}
