--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -235,10 +235,10 @@
                 && job.need.fits(&whole.minus(&host.used))
                 && Self::zone_allowed(spec, &host.zone, siblings)
                 && !self.kept_for_others(spec, host.kind, scarce)
-                && !host
+                && host
                     .failed_jobs
                     .get(&job.id)
-                    .is_some_and(|at| now.since(*at) < AVOID)
+                    .is_none_or(|at| now.since(*at) >= AVOID)
                 && !host.leftovers.keys().any(|(t, _)| *t == task)
                 && !host.unanswered.keys().any(|(t, _)| *t == task);
             if !eligible {
