--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -781,20 +781,19 @@
 
     fn watch_hosts(&mut self, now: Time, may_act: bool) {
         let limit = self.rules.silent_limit();
+        // In a cut the first machine is past the limit while the others are merely late: all that
+        // missed a report count, or each would be given up alone, one after the other.
+        let late = self.rules.report.mul_f64(1.8);
         let mut by_zone: BTreeMap<String, (usize, usize)> = BTreeMap::new();
         for host in self.hosts.values_mut() {
             if host.life == Life::Up && now.since(host.heard_at) > limit {
                 log::info!("{}: silent", host.name);
                 host.enter(Life::Silent);
             }
-            let count = by_zone.entry(host.zone.clone()).or_default();
-            match host.life {
-                Life::Up => count.1 += 1,
-                Life::Silent => {
-                    count.0 += 1;
-                    count.1 += 1;
-                }
-                Life::Expected | Life::Releasing => {}
+            if matches!(host.life, Life::Up | Life::Silent) {
+                let (silent, all) = by_zone.entry(host.zone.clone()).or_default();
+                *all += 1;
+                *silent += usize::from(now.since(host.heard_at) > late);
             }
         }
         if !may_act {
