--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -830,26 +830,23 @@
         by_zone: &BTreeMap<String, (usize, usize)>,
         now: Time,
     ) -> bool {
+        let limit = self.rules.silent_limit();
         let silent_for = now.since(host.heard_at);
         match host.life {
             Life::Silent => {
                 // Many at once are cut off rather than broken: they come back, later.
                 let (silent, all) = by_zone.get(&host.zone).copied().unwrap_or_default();
                 let cut = silent >= 3 && silent * 2 > all;
-                !cut || silent_for > self.rules.lease * 3
+                silent_for > if cut { self.rules.lease * 3 } else { limit }
             }
             Life::Expected => {
-                let boot = host
-                    .kind
-                    .and_then(|k| self.types.get(k))
-                    .map_or(60.0, |t| t.boot_s.0);
-                let patience = seconds(boot * self.rules.tuning.boot_patience);
-                let booked = !host.bookings.is_empty();
-                let said_running = host
-                    .running_since
-                    .is_some_and(|since| now.since(since) > self.rules.silent_limit());
-                let unheard = now.since(host.known_at) > self.rules.silent_limit();
-                now.since(host.rented_at) > patience || (unheard && (booked || said_running))
+                let kind = host.kind.and_then(|k| self.types.get(k));
+                let boot = kind.map_or(60.0, |t| t.boot_s.0);
+                let overdue =
+                    now.since(host.rented_at) > seconds(boot * self.rules.tuning.boot_patience);
+                let said_running = host.running_since.is_some_and(|at| now.since(at) > limit);
+                // A new leader finds machines that are long up: they get their time to report.
+                now.since(host.known_at) > limit && (overdue || said_running)
             }
             Life::Up | Life::Releasing => false,
         }
