Seat the leader in the zone with the most machines

Excluded: relaying reports, since the peers are cut as well. One change: nodes outside the zone with the most machines claim 0.9 s later, and a leader that most machines don't reach, or that sits elsewhere for 15 calm seconds, makes room and rests 3 s.

--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -42,6 +42,8 @@
     Renew(LeaseId),
     /// End the lease of a process that is surely dead, or our own that is not needed.
     End(LeaseId),
+    /// Give up the office in favour of a node that is better placed: end the lease, step down.
+    Resign(LeaseId),
     /// Begin to lead.
     Lead {
         term: Term,
@@ -60,6 +62,8 @@
 /// Clocks of different machines drift apart by at most 0.05%; this is well beyond that.
 const DRIFT: f64 = 0.99;
 const READ_EVERY: Duration = Duration::from_millis(400);
+/// A node that gave up the office lets the others go first.
+const REST: Duration = Duration::from_secs(3);
 const READ_LIMIT: Duration = Duration::from_millis(1500);
 
 pub struct Leadership {
@@ -75,6 +79,10 @@
     renewing: bool,
     next_read: Time,
     reading: Option<Time>,
+    /// How long the key must have been free before this node claims it.
+    pub handicap: Duration,
+    free_since: Option<Time>,
+    resigned_at: Option<Time>,
     random: fastrand::Rng,
 }
 
@@ -93,6 +101,9 @@
             renewing: false,
             next_read: Time::default(),
             reading: None,
+            handicap: Duration::ZERO,
+            free_since: None,
+            resigned_at: None,
             random,
         }
     }
@@ -169,6 +180,20 @@
         }
     }
 
+    /// Gives up the office, unless that was done a short while ago.
+    pub fn resign(&mut self, now: Time) -> Option<Wish> {
+        let lately = self.resigned_at.is_some_and(|at| now.since(at) < REST * 10);
+        let Role::Leading { lease, .. } = self.role else {
+            return None;
+        };
+        if lately {
+            return None;
+        }
+        self.resigned_at = Some(now);
+        self.step_down();
+        Some(Wish::Resign(lease))
+    }
+
     /// Proof came that another leads.
     pub fn step_down(&mut self) -> Wish {
         self.enter(Role::Following);
@@ -192,12 +217,18 @@
                 self.term = term;
                 self.leader = None;
             }
+            let since = *self.free_since.get_or_insert(now);
+            let resting = self.resigned_at.is_some_and(|at| now.since(at) < REST);
+            if now.since(since) < self.handicap || resting {
+                return None;
+            }
             self.enter(Role::Granting {
                 term: Term(term.0 + 1),
                 term_stamp,
             });
             return Some(Wish::Grant(self.ttl));
         };
+        self.free_since = None;
         if holder.node == self.node {
             if holder.incarnation == self.incarnation {
                 // A claim thought lost was carried out.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -96,6 +96,21 @@
     }
 }
 
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Reach {
+    pub heard: usize,
+    pub known: usize,
+    /// The zone that holds the most machines.
+    pub home: Option<String>,
+}
+
+impl Reach {
+    /// More than half of the machines are out of earshot.
+    pub fn is_cut_off(&self) -> bool {
+        self.known >= 3 && self.heard * 2 < self.known
+    }
+}
+
 /// The picture and the decisions of one term.
 pub struct Controller {
     pub term: Term,
@@ -893,6 +908,26 @@
         self.place_wanted = true;
     }
 
+    /// How many of the machines that were up this leader still hears, and where most of them are.
+    pub fn reach(&self, now: Time) -> Reach {
+        let late = self.rules.report.mul_f64(1.8);
+        let mut reach = Reach::default();
+        let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
+        for host in self.hosts.values() {
+            if host.zone.is_empty() || !matches!(host.life, Life::Up | Life::Silent) {
+                continue;
+            }
+            reach.known += 1;
+            reach.heard += usize::from(now.since(host.heard_at) <= late);
+            *zones.entry(&host.zone).or_default() += 1;
+        }
+        reach.home = zones
+            .iter()
+            .max_by_key(|(_, count)| **count)
+            .map(|(zone, _)| (*zone).to_owned());
+        reach
+    }
+
     /// A line for the log that tells operators how things stand.
     pub fn summary(&self) -> String {
         let count = |life| self.hosts.values().filter(|h| h.life == life).count();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,14 +4,14 @@
 mod office;
 
 use hdrhistogram::Histogram;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::bookkeeping::records::{self, HolderRecord, TermRecord};
 use crate::bookkeeping::store::{Ask, AskId, Class, Outcome, Store};
 use crate::coordination::leadership::{Leadership, Seen, Step, Wish};
-use crate::coordination::{Controller, Deposed, Rulebook};
+use crate::coordination::{Controller, Deposed, Reach, Rulebook};
 use crate::protocol::cloud::{MachineType, MachineTypes};
 use crate::protocol::peers::{self, Hello};
 use crate::protocol::state::Page;
@@ -19,7 +19,7 @@
 use crate::protocol::{decode, encode};
 use crate::settings::{Settings, Tuning};
 use crate::transport::{CallId, ConnId, Door, Happening, Request, Response, Transport};
-use crate::types::{seconds, Stamp, Term, Time};
+use crate::types::{seconds, HostName, Stamp, Term, Time};
 use front::{Front, FrontAct, FrontAsk};
 use office::{Office, OfficeAsk};
 
@@ -45,6 +45,13 @@
 const TYPES_RETRY: Duration = Duration::from_secs(2);
 /// The state service counts as lost to this node after so long without a good answer.
 const STATE_LOST: Duration = Duration::from_millis(2500);
+const SEAT_EVERY: Duration = Duration::from_millis(500);
+/// How long nodes outside the zone with the most machines let the key lie.
+const HANDICAP: Duration = Duration::from_millis(900);
+/// How long a better placed peer must have been fit before the leader makes room.
+const CALM: Duration = Duration::from_secs(15);
+const WORKERS_FOR: Duration = Duration::from_secs(6);
+const MAX_WORKERS: usize = 10_000;
 const SUMMARY_EVERY: Duration = Duration::from_secs(10);
 /// What the nodes together leave of the budgets, for requests that are counted late.
 const HEADROOM: f64 = 0.92;
@@ -62,6 +69,13 @@
     types: Vec<MachineType>,
     types_due: Time,
     types_call: Option<CallId>,
+    /// The zone that holds the most machines, as far as this node has heard.
+    home: Option<String>,
+    /// Workers that reported here lately, and when.
+    workers: BTreeMap<HostName, Time>,
+    seat_at: Time,
+    /// Since when a peer in the home zone has been fit to lead while this node does.
+    better_since: Option<Time>,
     summary_at: Time,
     turns: Option<Histogram<u64>>,
 }
@@ -124,6 +138,10 @@
             types: Vec::new(),
             types_due: Time::default(),
             types_call: None,
+            home: None,
+            workers: BTreeMap::new(),
+            seat_at: Time::default(),
+            better_since: None,
             summary_at: Time::default(),
             turns,
             settings,
@@ -216,6 +234,9 @@
             }
         };
         let now = self.transport.now();
+        if self.workers.len() < MAX_WORKERS {
+            self.workers.insert(report.host.clone(), now);
+        }
         if let Some(office) = &mut self.office {
             match office.controller.on_report(&report, now) {
                 Ok(orders) => {
@@ -254,6 +275,8 @@
             term: self.leadership.term.0,
             leader: self.leadership.leader.clone(),
             state_ok: self.state_answers(self.transport.now()),
+            home: self.home.clone(),
+            workers: self.workers.len() as u32,
         }
     }
 
@@ -409,6 +432,10 @@
             Wish::Claim(txn) => (Step::Claim, Ask::Txn(txn)),
             Wish::Renew(lease) => (Step::Renew, Ask::Extend(lease)),
             Wish::End(lease) => (Step::End, Ask::End(lease)),
+            Wish::Resign(lease) => {
+                self.office = None;
+                (Step::End, Ask::End(lease))
+            }
             Wish::Lead { term, stamp } => return self.take_office(term, stamp, now),
             Wish::StepDown => {
                 self.office = None;
@@ -437,6 +464,57 @@
         }
     }
 
+    /// Where the leader sits matters when zones are cut apart: workers that can't reach it lose
+    /// their work. So nodes of the zone with the most machines go first, and a leader elsewhere, or
+    /// one that most workers don't reach, makes room.
+    fn consider_seat(&mut self, now: Time) {
+        self.workers.retain(|_, at| now.since(*at) < WORKERS_FOR);
+        if self.home.is_none() {
+            self.home = widest_zone(&self.types);
+        }
+        let several = self.settings.settings.zones.len() > 1;
+        let at_home = self.home.as_ref().is_none_or(|z| *z == self.settings.zone);
+        let unsure = several && self.types.is_empty() && self.leadership.term == Term(0);
+        self.leadership.handicap = if unsure {
+            HANDICAP * 2
+        } else if several && !at_home {
+            HANDICAP
+        } else {
+            Duration::ZERO
+        };
+        let Some(office) = &self.office else { return };
+        let reach = office.controller.reach(now);
+        if reach.home.is_some() {
+            self.home.clone_from(&reach.home);
+        }
+        let fit = |h: &Hello, at: Time| h.state_ok && now.since(at) < HELLO_EVERY * 3;
+        let mut peers = self.settings.peers.iter().zip(&self.peers);
+        let at_better = peers.any(|(named, peer)| {
+            peer.heard.as_ref().is_some_and(|(at, h)| {
+                let hears_more = reach.is_cut_off() && h.workers as usize > reach.heard;
+                let at_home = several && !at_home && Some(&named.zone) == self.home.as_ref();
+                fit(h, *at) && (hears_more || at_home)
+            })
+        });
+        if at_better {
+            self.better_since.get_or_insert(now);
+        } else {
+            self.better_since = None;
+        }
+        let calm = self.better_since.is_some_and(|at| now.since(at) >= CALM);
+        // Cut off from the home zone, its nodes can't be heard either; they will find the key free.
+        let cut_off = reach.is_cut_off() && ((several && !at_home) || at_better);
+        if (calm || cut_off) && self.leadership.is_certain(now) {
+            self.better_since = None;
+            let wish = self.leadership.resign(now);
+            if wish.is_some() {
+                let Reach { heard, known, .. } = reach;
+                log::info!("{heard} of {known} machines are heard here: making room");
+            }
+            self.grant(wish);
+        }
+    }
+
     // ---- time
 
     fn due(&mut self) {
@@ -465,6 +543,10 @@
             self.purposes.insert(id, Purpose::Types);
         }
         self.front.expire(now);
+        if now >= self.seat_at {
+            self.seat_at = now.after(SEAT_EVERY);
+            self.consider_seat(now);
+        }
         if now >= self.summary_at {
             self.summary_at = now.after(SUMMARY_EVERY);
             self.tell();
@@ -536,6 +618,16 @@
     seen
 }
 
+/// The zone that offers the most machine types: a first guess at where the machines will be.
+fn widest_zone(types: &[MachineType]) -> Option<String> {
+    let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
+    for zone in types.iter().flat_map(|t| &t.zones) {
+        *zones.entry(zone).or_default() += 1;
+    }
+    let widest = zones.iter().max_by_key(|(_, count)| **count);
+    widest.map(|(zone, _)| (*zone).to_owned())
+}
+
 fn time_of_day() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -11,6 +11,10 @@
     pub leader: Option<String>,
     /// Whether the state service answers the sender.
     pub state_ok: bool,
+    /// The zone that holds the most machines, by the leader's word.
+    pub home: Option<String>,
+    /// How many workers reported to the sender lately, whether or not it leads.
+    pub workers: u32,
 }
 
 pub const PATH: &str = "/peer/hello";
