Let jobs that can still meet their deadline go before those that can't

Excluded: renting, which had no capacity left. Conclusion: kept; within a priority, and as an exception to arrival order.

--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -410,6 +410,12 @@
         spec.deadline_s.map(|d| self.at_ms as f64 + d.0 * 1000.0)
     }
 
+    /// Even a task started now would end after the deadline.
+    pub fn is_late(&self, day_ms: u64) -> bool {
+        let end = day_ms as f64 + self.estimate() * 1000.0;
+        self.due_ms().is_some_and(|due| end > due)
+    }
+
     /// A task failed: the job waits longer each time, but is never given up.
     pub fn failed(&mut self, host: &HostName, now: Time) {
         self.failures += 1;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -130,6 +130,8 @@
     place_wanted: bool,
     place_at: Time,
     started_at: Time,
+    /// The time of day, in milliseconds, by which deadlines are judged.
+    day_ms: u64,
 }
 
 /// Names of released machines are kept as long as a list may still show them.
@@ -162,6 +164,7 @@
             place_wanted: false,
             place_at: now,
             started_at: now,
+            day_ms: 0,
         }
     }
 
@@ -767,7 +770,8 @@
     // ---- time
 
     /// Does what time alone calls for; `may_act` says that the own lease is surely valid.
-    pub fn tick(&mut self, now: Time, may_act: bool) {
+    pub fn tick(&mut self, now: Time, day_ms: u64, may_act: bool) {
+        self.day_ms = day_ms;
         match self.phase {
             Phase::Loading => return,
             Phase::Gathering { until } => {
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -63,11 +63,14 @@
 }
 
 /// Jobs in the order in which they are served: those within their team's guarantee don't wait for
-/// work that others run on borrowed machines; then priority, then arrival.
+/// work that others run on borrowed machines; then priority; then those that can still be in time;
+/// then arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
     pub borrowing: bool,
     pub priority: Priority,
+    /// It can't meet its deadline any more, so it lets those go first that can.
+    pub late: bool,
     pub arrival: Stamp,
     pub id: JobId,
 }
@@ -99,6 +102,7 @@
                 ranks.push(Rank {
                     borrowing: !within,
                     priority: spec.priority,
+                    late: job.is_late(self.day_ms),
                     arrival: job.live,
                     id: job.id,
                 });
--- a/src/node/office.rs
+++ b/src/node/office.rs
@@ -312,7 +312,7 @@
         certain: bool,
         now: Time,
     ) {
-        self.controller.tick(now, certain);
+        self.controller.tick(now, super::time_of_day(), certain);
         self.commit(writes, now);
         for (job, chunk) in self.controller.ledger.take_unsure() {
             let ask = Ask::Get(records::run_key(job, chunk));
