--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,5 +1,6 @@
 //! The machines themselves: renting what waiting work needs, returning what idles.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -43,8 +44,36 @@
     release_at: Time,
     look_at: Time,
     scarce: BTreeSet<usize>,
+    /// The recent demand on the common and on the scarce types.
+    peaks: [Peak; 2],
 }
 
+/// The highest of the values noted within a window of time.
+#[derive(Debug, Default)]
+struct Peak {
+    noted: VecDeque<(Time, f64)>,
+}
+
+impl Peak {
+    fn note(&mut self, now: Time, value: f64, window: Duration) -> f64 {
+        // Values that a later one reaches can't be the highest any more.
+        while self.noted.back().is_some_and(|(_, v)| *v <= value) {
+            self.noted.pop_back();
+        }
+        self.noted.push_back((now, value));
+        while self
+            .noted
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) > window)
+        {
+            self.noted.pop_front();
+        }
+        self.noted.front().map_or(value, |(_, v)| *v)
+    }
+}
+
+/// The cloud charges at least a minute; a machine that goes back earlier saves nothing.
+const MIN_PAID: Duration = Duration::from_secs(55);
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 const CLOSED_FOR: Duration = Duration::from_secs(15);
 const RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -61,6 +90,7 @@
             release_at: Time::default(),
             look_at: Time::default(),
             scarce: BTreeSet::new(),
+            peaks: Default::default(),
         }
     }
 
@@ -92,13 +122,14 @@
             return;
         }
         self.fleet.look_at = now.after(LOOK_EVERY);
-        for (kind, scarce) in self.scarce_types().iter().enumerate() {
-            if *scarce {
-                self.fleet.scarce.insert(kind);
-            }
-        }
-        self.return_idle(now);
-        self.rent(now);
+        let scarce = self.scarce_types();
+        let kinds = scarce.iter().enumerate();
+        self.fleet
+            .scarce
+            .extend(kinds.filter(|(_, s)| **s).map(|(kind, _)| kind));
+        self.cordon_surplus(&scarce, now);
+        self.return_empty(now);
+        self.rent(&scarce, now);
     }
 
     fn send_releases(&mut self, now: Time) {
@@ -221,21 +252,100 @@
         }
     }
 
-    /// Scale down by cordoning: an idle machine is closed for new tasks, then returned.
-    fn return_idle(&mut self, now: Time) {
-        let idle_limit = seconds(self.rules.tuning.idle_return_s);
-        let mut returned = Vec::new();
-        for host in self.hosts.values_mut() {
-            let idle = host.idle_since.map(|since| now.since(since));
-            let Some(idle) = idle.filter(|_| host.life == Life::Up) else {
+    /// Scale down by cordoning. Headroom spreads work thinly over all machines, so that none ever
+    /// idles; what the recent peak of demand does not need is therefore closed, the dearest first,
+    /// runs empty, and goes back. When demand rises it is opened again before any is rented.
+    fn cordon_surplus(&mut self, scarce: &[bool], now: Time) {
+        let window = seconds(self.rules.tuning.idle_return_s);
+        for group in [false, true] {
+            let demand = self.demand(scarce, group);
+            let peak = self.fleet.peaks[usize::from(group)].note(now, demand, window);
+            let wanted = peak * (1.0 + self.rules.tuning.spare_share);
+            let mut order: Vec<(f64, f64, HostName, f64)> = self
+                .hosts
+                .values()
+                .filter(|h| h.life == Life::Up)
+                .filter(|h| matches!(h.cordon, None | Some(Cordon::Surplus)))
+                .filter_map(|h| {
+                    let kind = h.kind.filter(|k| scarce.get(*k) == Some(&group))?;
+                    let t = self.types.get(kind)?;
+                    let price = if h.spot { t.spot_price.0 } else { t.price.0 };
+                    let cpus = t.cpus.0.max(0.1);
+                    // What is closed already stays so, other things being equal.
+                    let closed = if h.cordon.is_some() { 1.0 } else { 0.0 };
+                    Some((
+                        price / cpus,
+                        closed - h.used.cpus / cpus,
+                        h.name.clone(),
+                        cpus,
+                    ))
+                })
+                .collect();
+            order.sort_by(|a, b| {
+                (a.0, a.1)
+                    .partial_cmp(&(b.0, b.1))
+                    .unwrap_or(Ordering::Equal)
+            });
+            let mut kept = 0.0;
+            for (_, _, name, cpus) in order {
+                let Some(host) = self.hosts.get_mut(&name) else {
+                    continue;
+                };
+                if kept < wanted {
+                    kept += cpus;
+                    if host.uncordon() {
+                        self.place_wanted = true;
+                    }
+                } else {
+                    host.cordon(Cordon::Surplus);
+                }
+            }
+        }
+    }
+
+    /// CPUs that booked and waiting work takes, on the scarce types or on the others.
+    fn demand(&self, scarce: &[bool], group: bool) -> f64 {
+        let mut demand = 0.0;
+        for host in self.hosts.values() {
+            let Some(kind) = host.kind.filter(|k| scarce.get(*k) == Some(&group)) else {
                 continue;
             };
-            // What has been paid for anyway may stay.
-            let paid = now.since(host.rented_at) < Duration::from_secs(55);
-            if idle >= idle_limit && !paid {
-                host.cordon(Cordon::Idle);
+            let Some(t) = self.types.get(kind) else {
+                continue;
+            };
+            let whole = capacity(t);
+            let share = (host.used.cpus / whole.cpus).max(host.used.memory_gb / whole.memory_gb);
+            demand += if share.is_finite() {
+                share * whole.cpus
+            } else {
+                0.0
+            };
+        }
+        for job in self.jobs.values() {
+            let (Some(spec), true) = (&job.spec, job.waiting() > 0) else {
+                continue;
+            };
+            let needs_scarce = self
+                .suited(spec)
+                .iter()
+                .all(|k| scarce.get(*k) == Some(&true));
+            if needs_scarce == group {
+                let count = u64::from(job.waiting()).min(self.team_room(job));
+                demand += count as f64 * job.need.cpus;
             }
-            if host.cordon.is_some_and(|c| c != Cordon::Notice) {
+        }
+        demand
+    }
+
+    /// Machines that are closed for good reasons and empty go back.
+    fn return_empty(&mut self, now: Time) {
+        let mut returned = Vec::new();
+        for host in self.hosts.values_mut() {
+            let empty = host.life == Life::Up && host.bookings.is_empty();
+            // What has been paid for anyway may stay.
+            let paid = now.since(host.rented_at) < MIN_PAID;
+            let closed = host.cordon.is_some_and(|c| c != Cordon::Notice);
+            if empty && closed && !paid {
                 host.enter(Life::Releasing);
                 returned.push(host.name.clone());
             }
@@ -246,8 +356,7 @@
     }
 
     /// Rents what waiting work needs beyond the machines that are here or coming.
-    fn rent(&mut self, now: Time) {
-        let scarce = self.scarce_types();
+    fn rent(&mut self, scarce: &[bool], now: Time) {
         let mut rooms = self.rooms(now);
         let mut wanted: BTreeMap<Market, u64> = BTreeMap::new();
         let mut team_room: BTreeMap<String, f64> = BTreeMap::new();
@@ -274,7 +383,7 @@
                 let suits = (spec.spot || !room.spot)
                     && super::placement::type_suits(spec, kind)
                     && spec.zone.as_ref().is_none_or(|z| *z == room.zone)
-                    && !self.kept_for_others(spec, Some(room.kind), &scarce);
+                    && !self.kept_for_others(spec, Some(room.kind), scarce);
                 if !suits {
                     continue;
                 }
@@ -285,7 +394,7 @@
                 waiting -= count;
             }
             while waiting > 0 {
-                let Some((market, fits)) = self.cheapest(spec, waiting, &scarce, now) else {
+                let Some((market, fits)) = self.cheapest(spec, waiting, scarce, now) else {
                     break;
                 };
                 let machines = if fits >= waiting { 1 } else { waiting / fits };
@@ -344,7 +453,7 @@
             let open = match host.life {
                 // One that takes much longer than usual may never come.
                 Life::Expected => now.since(host.rented_at) < seconds(t.boot_s.0 * 1.7),
-                Life::Up => host.cordon.is_none(),
+                Life::Up => matches!(host.cordon, None | Some(Cordon::Surplus)),
                 Life::Silent | Life::Releasing => false,
             };
             if open {
--- a/src/coordination/hosts.rs
+++ b/src/coordination/hosts.rs
@@ -21,8 +21,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cordon {
-    /// Idle for too long; to be returned.
-    Idle,
+    /// Not needed for the work there is; opened again if that grows.
+    Surplus,
     /// The cloud takes it back.
     Notice,
     /// It fails tasks.
@@ -150,14 +150,24 @@
         }
     }
 
-    /// Closes it for new tasks. The first reason stands, save that a worse one replaces `Idle`.
+    /// Closes it for new tasks. The first reason stands, save that a worse one replaces `Surplus`.
     pub fn cordon(&mut self, why: Cordon) {
-        if self.cordon.is_none() || self.cordon == Some(Cordon::Idle) {
+        if self.cordon.is_none() || self.cordon == Some(Cordon::Surplus) {
             log::debug!("{}: cordoned, {why:?}", self.name);
             self.cordon = Some(why);
         }
     }
 
+    /// Opens a machine that was only closed as surplus; true if that changed anything.
+    pub fn uncordon(&mut self) -> bool {
+        let closed = self.cordon == Some(Cordon::Surplus);
+        if closed {
+            log::debug!("{}: open again", self.name);
+            self.cordon = None;
+        }
+        closed
+    }
+
     /// True if the report is newer than all that was heard before; older ones count for nothing.
     pub fn is_news(&self, report: &Report) -> bool {
         (report.session, report.tick) > (self.session, self.tick)
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -206,8 +206,10 @@
     pub leader_lease_s: f64,
     /// The least time between two batches of records.
     pub batch_interval_s: f64,
-    /// How long a machine may idle before it is cordoned and returned.
+    /// Machines that the peak demand of this long did not need are cordoned and returned.
     pub idle_return_s: f64,
+    /// How much more than that peak is kept.
+    pub spare_share: f64,
     /// A machine silent for this many report intervals is given up.
     pub silent_reports: f64,
     /// A rented machine that is not up after this many times its boot time is replaced.
@@ -220,6 +222,7 @@
             leader_lease_s: 3.0,
             batch_interval_s: 0.0,
             idle_return_s: 25.0,
+            spare_share: 0.1,
             silent_reports: 3.5,
             boot_patience: 2.5,
         }
@@ -240,6 +243,7 @@
             ("leader_lease_s", tuning.leader_lease_s, 1.0, 60.0),
             ("batch_interval_s", tuning.batch_interval_s, 0.0, 10.0),
             ("idle_return_s", tuning.idle_return_s, 0.0, 86_400.0),
+            ("spare_share", tuning.spare_share, 0.0, 10.0),
             ("silent_reports", tuning.silent_reports, 2.0, 100.0),
             ("boot_patience", tuning.boot_patience, 1.5, 100.0),
         ];
