Rent by a forecast of when waiting tasks would start

A forecast over running, coming and free room now says which waiting task starts too late; how long tasks run is learned per class from their ends.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -6,9 +6,10 @@
 
 use super::hosts::{Cordon, Host, Life};
 use super::jobs::Resources;
-use super::placement::capacity;
+use super::placement::{self, capacity};
 use super::{Action, Controller};
 use crate::protocol::cloud::{ListedHost, ListedStatus, Rental, MAX_RELEASE, MAX_RENTAL};
+use crate::protocol::users::JobSpec;
 use crate::types::{seconds, HostName, Term, Time};
 
 /// A type, a zone, and whether it is a spot machine.
@@ -74,6 +75,14 @@
 
 /// The cloud charges at least a minute; a machine that goes back earlier saves nothing.
 const MIN_PAID: Duration = Duration::from_secs(55);
+/// A deadline is taken for kept if the forecast leaves this much.
+const MARGIN_S: f64 = 3.0;
+/// How long late work waits for room rather than for a machine of its own.
+const LATE_PATIENCE_S: f64 = 45.0;
+/// How much more a machine may cost that keeps a deadline which another would miss.
+const LATE_FACTOR: f64 = 2.0;
+/// Tasks that one forecast looks at.
+const MAX_FORECAST: u32 = 400;
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 const CLOSED_FOR: Duration = Duration::from_secs(15);
 const RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -106,12 +115,45 @@
     }
 }
 
-/// A machine that is up or to come, with the room left for waiting tasks.
-struct Room {
+/// A machine that is up or to come, as the forecast sees it; times are seconds from now.
+struct Lane {
     kind: usize,
     zone: String,
     spot: bool,
+    /// When it is up.
+    at: f64,
     free: Resources,
+    /// What gets free later, in the order of time.
+    ends: Vec<(f64, Resources)>,
+}
+
+impl Lane {
+    /// When there will be room for a task.
+    fn start_of(&self, need: &Resources) -> Option<f64> {
+        let mut free = self.free;
+        if need.fits(&free) {
+            return Some(self.at);
+        }
+        for (end, freed) in &self.ends {
+            free.add(freed);
+            if need.fits(&free) {
+                return Some(end.max(self.at));
+            }
+        }
+        None
+    }
+
+    /// Gives the room to a task from `start` on.
+    fn take(&mut self, start: f64, run: f64, need: &Resources) {
+        while let Some((_, freed)) = self.ends.first().filter(|(end, _)| *end <= start) {
+            self.free.add(freed);
+            self.ends.remove(0);
+        }
+        self.free.remove(need);
+        let end = start + run;
+        let at = self.ends.partition_point(|(e, _)| *e <= end);
+        self.ends.insert(at, (end, *need));
+    }
 }
 
 impl Controller {
@@ -355,11 +397,13 @@
         }
     }
 
-    /// Rents what waiting work needs beyond the machines that are here or coming.
+    /// Rents what waiting work needs beyond the machines that are here or coming. A forecast tells
+    /// when each waiting task would start on those; only where that is too late, and a new machine
+    /// would be sooner, one is rented.
     fn rent(&mut self, scarce: &[bool], now: Time) {
-        let mut rooms = self.rooms(now);
+        let mut lanes = self.lanes(now);
         let mut wanted: BTreeMap<Market, u64> = BTreeMap::new();
-        let mut team_room: BTreeMap<String, f64> = BTreeMap::new();
+        let mut looked_at = 0;
         for rank in self.ranked() {
             let Some(job) = self.jobs.get(&rank.id) else {
                 continue;
@@ -368,56 +412,29 @@
             if now < job.not_before || job.suspect() {
                 continue;
             }
-            let limit = self.rules.team(&job.team).map_or(0.0, |t| t.limits().0);
-            let used = self.used.get(&job.team).map_or(0.0, |u| u.cpus);
-            let left = team_room.entry(job.team.clone()).or_insert(limit - used);
-            let allowed = if job.need.cpus > 0.0 {
-                (*left / job.need.cpus).max(0.0)
-            } else {
-                f64::MAX
-            };
-            let mut waiting = f64::from(job.waiting()).min(allowed) as u64;
-            *left -= waiting as f64 * job.need.cpus;
-            for room in &mut rooms {
-                let kind = &self.types[room.kind];
-                let suits = (spec.spot || !room.spot)
-                    && super::placement::type_suits(spec, kind)
-                    && spec.zone.as_ref().is_none_or(|z| *z == room.zone)
-                    && !self.kept_for_others(spec, Some(room.kind), scarce);
-                if !suits {
-                    continue;
-                }
-                let count = job.need.times_in(&room.free).min(waiting);
-                for _ in 0..count {
-                    room.free.remove(&job.need);
-                }
-                waiting -= count;
-            }
-            while waiting > 0 {
-                let Some((market, fits)) = self.cheapest(spec, waiting, scarce, now) else {
-                    break;
-                };
-                let machines = if fits >= waiting { 1 } else { waiting / fits };
-                let open = wanted.entry(market.clone()).or_default();
-                let add = machines.min(MAX_RENTAL.saturating_sub(*open));
-                if add == 0 {
+            let run = self.expected_run(job);
+            let due = job.due_ms().map(|due| (due - self.day_ms as f64) / 1000.0);
+            let waiting = u64::from(job.waiting()).min(self.team_room(job));
+            for left in (1..=waiting).rev() {
+                looked_at += 1;
+                if looked_at > MAX_FORECAST {
                     break;
                 }
-                *open += add;
-                let mut free = capacity(&self.types[market.0]);
-                let here = waiting.min(fits * add);
-                waiting -= here;
-                for _ in 0..here % fits {
-                    free.remove(&job.need);
+                let soonest = self.soonest(&lanes, spec, scarce);
+                let start = soonest.map_or(f64::INFINITY, |(start, _)| start);
+                if let Some(market) = self.worth_renting(spec, start, run, due, left, scarce, now) {
+                    let open = wanted.entry(market.clone()).or_default();
+                    if *open < MAX_RENTAL {
+                        *open += 1;
+                        let mut lane = self.new_lane(market);
+                        lane.take(lane.at, run, &job.need);
+                        lanes.push(lane);
+                        continue;
+                    }
                 }
-                if here % fits != 0 {
-                    let (kind, zone, spot) = market;
-                    rooms.push(Room {
-                        kind,
-                        zone,
-                        spot,
-                        free,
-                    });
+                match soonest {
+                    Some((start, at)) => lanes[at].take(start, run, &job.need),
+                    None => break,
                 }
             }
         }
@@ -442,54 +459,133 @@
         }
     }
 
-    /// Machines to come, asked for or booting, with all their room.
-    fn rooms(&self, now: Time) -> Vec<Room> {
-        let mut rooms = Vec::new();
+    /// The market to rent from, if the task would start too late at `start` and sooner there.
+    #[allow(clippy::too_many_arguments)]
+    fn worth_renting(
+        &self,
+        spec: &JobSpec,
+        start: f64,
+        run: f64,
+        due: Option<f64>,
+        waiting: u64,
+        scarce: &[bool],
+        now: Time,
+    ) -> Option<Market> {
+        if due.is_some_and(|due| start + run + MARGIN_S <= due) {
+            return None;
+        }
+        let (market, _) = self.cheapest(spec, waiting, run, due, scarce, now)?;
+        let t = &self.types[market.0];
+        let ready = t.boot_s.0 + spec.image_gb.0 / t.fetch_gb_per_s.0.max(0.01);
+        let in_time = due.is_some_and(|due| ready + run <= due);
+        // Work that is late either way still has to be done, but without hurry.
+        let gained = if in_time { 0.0 } else { LATE_PATIENCE_S };
+        (ready + gained < start).then_some(market)
+    }
+
+    /// Machines that are here or coming, and when their room gets free.
+    fn lanes(&self, now: Time) -> Vec<Lane> {
+        let mut lanes = Vec::new();
         for host in self.hosts.values() {
             let Some(kind) = host.kind else { continue };
             let Some(t) = self.types.get(kind) else {
                 continue;
             };
-            let open = match host.life {
+            let at = match host.life {
+                Life::Up if matches!(host.cordon, None | Some(Cordon::Surplus)) => 0.0,
                 // One that takes much longer than usual may never come.
-                Life::Expected => now.since(host.rented_at) < seconds(t.boot_s.0 * 1.7),
-                Life::Up => matches!(host.cordon, None | Some(Cordon::Surplus)),
-                Life::Silent | Life::Releasing => false,
+                Life::Expected => {
+                    let age = now.since(host.rented_at).as_secs_f64();
+                    if age > t.boot_s.0 * 1.7 {
+                        continue;
+                    }
+                    (t.boot_s.0 - age).max(1.0)
+                }
+                Life::Up | Life::Silent | Life::Releasing => continue,
             };
-            if open {
-                let free = capacity(t).minus(&host.used);
-                rooms.push(Room {
-                    kind,
-                    zone: host.zone.clone(),
-                    spot: host.spot,
-                    free,
-                });
-            }
+            let mut ends: Vec<(f64, Resources)> = host
+                .bookings
+                .iter()
+                .map(|(task, booking)| {
+                    let run = self
+                        .jobs
+                        .get(&task.job)
+                        .map_or(30.0, |j| self.expected_run(j));
+                    let since = booking.started.unwrap_or(now);
+                    let ran = now.since(since).as_secs_f64();
+                    ((run - ran).max(1.0), booking.need)
+                })
+                .collect();
+            ends.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let (zone, spot) = (host.zone.clone(), host.spot);
+            let free = capacity(t).minus(&host.used);
+            lanes.push(Lane {
+                kind,
+                zone,
+                spot,
+                at,
+                free,
+                ends,
+            });
         }
         for open in self.fleet.rentals.values() {
-            let (kind, zone, spot) = open.market.clone();
             for _ in 0..open.rental.count {
-                let free = capacity(&self.types[kind]);
-                rooms.push(Room {
-                    kind,
-                    zone: zone.clone(),
-                    spot,
-                    free,
-                });
+                lanes.push(self.new_lane(open.market.clone()));
             }
         }
-        rooms
+        lanes
+    }
+
+    fn new_lane(&self, (kind, zone, spot): Market) -> Lane {
+        let t = &self.types[kind];
+        let at = t.boot_s.0;
+        Lane {
+            kind,
+            zone,
+            spot,
+            at,
+            free: capacity(t),
+            ends: Vec::new(),
+        }
+    }
+
+    /// Which of the machines would take a task of the job soonest, and when.
+    fn soonest(&self, lanes: &[Lane], spec: &JobSpec, scarce: &[bool]) -> Option<(f64, usize)> {
+        let need = placement::need(spec);
+        let usable: Vec<bool> = (0..self.types.len())
+            .map(|kind| {
+                placement::type_suits(spec, &self.types[kind])
+                    && !self.kept_for_others(spec, Some(kind), scarce)
+            })
+            .collect();
+        let mut best: Option<(f64, usize)> = None;
+        for (at, lane) in lanes.iter().enumerate() {
+            let suits = usable[lane.kind]
+                && (spec.spot || !lane.spot)
+                && spec.zone.as_ref().is_none_or(|z| *z == lane.zone);
+            if !suits {
+                continue;
+            }
+            if let Some(start) = lane.start_of(&need) {
+                if best.is_none_or(|(b, _)| start < b) {
+                    best = Some((start, at));
+                }
+            }
+        }
+        best
     }
 
     /// The market with the lowest cost per task, counting boot and fetch, and how many tasks fit.
     fn cheapest(
         &self,
-        spec: &crate::protocol::users::JobSpec,
+        spec: &JobSpec,
         waiting: u64,
+        run: f64,
+        due: Option<f64>,
         scarce: &[bool],
         now: Time,
     ) -> Option<(Market, u64)> {
-        let need = super::placement::need(spec);
+        let need = placement::need(spec);
         let mut best: Option<(f64, Market, u64)> = None;
         for kind in self.suited(spec) {
             let t = &self.types[kind];
@@ -501,7 +597,8 @@
                 continue;
             }
             let fetch = spec.image_gb.0 / t.fetch_gb_per_s.0.max(0.01);
-            let span = t.boot_s.0 + fetch + spec.estimate_s.0;
+            let span = t.boot_s.0 + fetch + run;
+            let in_time = due.is_some_and(|due| span <= due);
             for zone in t
                 .zones
                 .iter()
@@ -519,7 +616,12 @@
                         continue;
                     }
                     let price = if spot { t.spot_price.0 } else { t.price.0 };
+                    // Only a kept deadline is worth the price of an ordinary machine.
+                    if !spot && spec.spot && !in_time {
+                        continue;
+                    }
                     let cost = price * span.max(60.0) / fits.min(waiting) as f64;
+                    let cost = if in_time { cost } else { cost * LATE_FACTOR };
                     if best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
                         best = Some((cost, market, fits));
                     }
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -411,8 +411,8 @@
     }
 
     /// Even a task started now would end after the deadline.
-    pub fn is_late(&self, day_ms: u64) -> bool {
-        let end = day_ms as f64 + self.estimate() * 1000.0;
+    pub fn is_late(&self, run_s: f64, day_ms: u64) -> bool {
+        let end = day_ms as f64 + run_s * 1000.0;
         self.due_ms().is_some_and(|due| end > due)
     }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -132,12 +132,15 @@
     started_at: Time,
     /// The time of day, in milliseconds, by which deadlines are judged.
     day_ms: u64,
+    /// How long tasks of a class ran, and how long their owners had guessed.
+    runs: BTreeMap<String, (f64, f64)>,
 }
 
 /// Names of released machines are kept as long as a list may still show them.
 const KEPT_RELEASED: usize = 2000;
 /// The longest time between two passes over the waiting tasks.
 const PLACE_EVERY: Duration = Duration::from_secs(1);
+const LEARN_KEEP: f64 = 0.98;
 /// A failure on a machine keeps the job's tasks away from it for this long.
 const AVOID: Duration = Duration::from_secs(20);
 
@@ -165,6 +168,7 @@
             place_at: now,
             started_at: now,
             day_ms: 0,
+            runs: BTreeMap::new(),
         }
     }
 
@@ -450,6 +454,8 @@
         let done = cause == Some(Cause::Done);
         match cause {
             Some(Cause::Done) => {
+                let started = host.bookings.get(&task).and_then(|b| b.started);
+                self.learn(task, started.map(|s| now.since(s).as_secs_f64()));
                 host.failures = 0;
                 host.failed_jobs.clear();
             }
@@ -467,6 +473,28 @@
         self.place_wanted = true;
     }
 
+    /// Owners' guesses are often wrong, and some days all in the same direction.
+    fn learn(&mut self, task: TaskId, ran: Option<f64>) {
+        let spec = self.jobs.get(&task.job).and_then(|j| j.spec.as_ref());
+        let (Some(spec), Some(ran)) = (spec, ran) else {
+            return;
+        };
+        let (sum, guessed) = self.runs.entry(spec.class.clone()).or_default();
+        // Older runs fade, so that a new day is noticed.
+        *sum = *sum * LEARN_KEEP + ran;
+        *guessed = *guessed * LEARN_KEEP + spec.estimate_s.0;
+    }
+
+    /// How long a task of the job is likely to run.
+    fn expected_run(&self, job: &Job) -> f64 {
+        let class = job.spec.as_ref().and_then(|s| self.runs.get(&s.class));
+        let (ran, guessed) = class.copied().unwrap_or_default();
+        // A few guesses taken at their word keep the first runs from deciding alone.
+        let prior = job.estimate() * 4.0;
+        let ratio = (ran + prior) / (guessed + prior);
+        job.estimate() * ratio.clamp(0.4, 2.5)
+    }
+
     /// Ends a booking that is proven to have ended, and returns the change that holds the outcome.
     fn end_booking(&mut self, host: &mut Host, task: TaskId, done: bool, now: Time) -> u64 {
         let Some(booking) = host.unbook(task, now) else {
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -102,7 +102,7 @@
                 ranks.push(Rank {
                     borrowing: !within,
                     priority: spec.priority,
-                    late: job.is_late(self.day_ms),
+                    late: job.is_late(self.expected_run(job), self.day_ms),
                     arrival: job.live,
                     id: job.id,
                 });
