--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -77,6 +77,8 @@
 const MIN_PAID: Duration = Duration::from_secs(55);
 /// A deadline is taken for kept if the forecast leaves this much.
 const MARGIN_S: f64 = 3.0;
+/// The longest of a job's tasks takes this much more than the expected one, as a share.
+const MARGIN_SHARE: f64 = 1.0;
 /// How long late work waits for room rather than for a machine of its own.
 const LATE_PATIENCE_S: f64 = 45.0;
 /// How much more a machine may cost that keeps a deadline which another would miss.
@@ -471,7 +473,7 @@
         scarce: &[bool],
         now: Time,
     ) -> Option<Market> {
-        if due.is_some_and(|due| start + run + MARGIN_S <= due) {
+        if due.is_some_and(|due| start + run * (1.0 + MARGIN_SHARE) + MARGIN_S <= due) {
             return None;
         }
         let (market, _) = self.cheapest(spec, waiting, run, due, scarce, now)?;
@@ -507,13 +509,9 @@
                 .bookings
                 .iter()
                 .map(|(task, booking)| {
-                    let run = self
-                        .jobs
-                        .get(&task.job)
-                        .map_or(30.0, |j| self.expected_run(j));
-                    let since = booking.started.unwrap_or(now);
-                    let ran = now.since(since).as_secs_f64();
-                    ((run - ran).max(1.0), booking.need)
+                    let job = self.jobs.get(&task.job);
+                    let rest = job.map_or(30.0, |j| self.expected_rest(j, booking.started, now));
+                    (rest, booking.need)
                 })
                 .collect();
             ends.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -118,6 +118,8 @@
     pub booked: u32,
     /// Its tasks wait until then, after failures.
     pub not_before: Time,
+    /// How long its finished tasks ran, in all, and how many they are.
+    pub ran: (f64, f64),
     pub failures: u32,
     pub failed_on: BTreeSet<HostName>,
     pub withdrawn_at: Option<Time>,
@@ -147,6 +149,7 @@
             done: 0,
             booked: 0,
             not_before: Time::default(),
+            ran: (0.0, 0.0),
             failures: 0,
             failed_on: BTreeSet::new(),
             withdrawn_at: None,
@@ -176,6 +179,7 @@
             done: 0,
             booked: 0,
             not_before: Time::default(),
+            ran: (0.0, 0.0),
             failures: 0,
             failed_on: BTreeSet::new(),
             withdrawn_at: Some(now),
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -491,8 +491,17 @@
         let (ran, guessed) = class.copied().unwrap_or_default();
         // A few guesses taken at their word keep the first runs from deciding alone.
         let prior = job.estimate() * 4.0;
-        let ratio = (ran + prior) / (guessed + prior);
-        job.estimate() * ratio.clamp(0.4, 2.5)
+        let ratio = ((ran + prior) / (guessed + prior)).clamp(0.4, 2.5);
+        // The job's own finished tasks tell more than any guess.
+        let (own, count) = job.ran;
+        (job.estimate() * ratio + own) / (1.0 + count)
+    }
+
+    /// How much longer a running task will take. One past its time shows that the guess was bad.
+    fn expected_rest(&self, job: &Job, started: Option<Time>, now: Time) -> f64 {
+        let run = self.expected_run(job);
+        let ran = started.map_or(0.0, |s| now.since(s).as_secs_f64());
+        (run - ran).max(ran * 0.25).max(1.0)
     }
 
     /// Ends a booking that is proven to have ended, and returns the change that holds the outcome.
@@ -624,9 +633,8 @@
             let Some(job) = self.jobs.get(&task.job) else {
                 continue;
             };
-            let ran = booking.started.map_or(Duration::ZERO, |s| now.since(s));
-            let rest = seconds(job.estimate()).saturating_sub(ran);
-            if rest > left.mul_f64(1.5) && booking.stop.is_none() {
+            let rest = self.expected_rest(job, booking.started, now);
+            if rest > left.as_secs_f64() * 1.5 && booking.stop.is_none() {
                 booking.stop = Some(StopWhy::Drained);
             }
         }
