--- a/src/settings.rs
+++ b/src/settings.rs
@@ -127,7 +127,11 @@
     }
 
     pub fn parse(text: &str) -> Result<Settings, String> {
-        let settings: Settings = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        let mut json = serde_json::Deserializer::from_str(text);
+        // The path says which field is meant, also where a value is just of the wrong kind.
+        let settings: Settings =
+            serde_path_to_error::deserialize(&mut json).map_err(|e| e.to_string())?;
+        json.end().map_err(|e| e.to_string())?;
         settings.check()?;
         Ok(settings)
     }
--- /dev/null
+++ b/tests/leadership.rs
@@ -0,0 +1,170 @@
+//! The election, step by step: who may lead, under which term, and when a leader stops.
+
+use std::time::Duration;
+
+use lichencrank::bookkeeping::records::HolderRecord;
+use lichencrank::bookkeeping::store::Outcome;
+use lichencrank::coordination::leadership::{Leadership, Role, Seen, Step, Wish};
+use lichencrank::types::{LeaseId, Stamp, Term, Time};
+
+const TTL: Duration = Duration::from_secs(3);
+
+fn node(name: &str, seed: u64) -> Leadership {
+    Leadership::new(name, TTL, seed)
+}
+
+fn held_by(node: &str, incarnation: u64, term: u64) -> Option<Seen> {
+    let holder = HolderRecord {
+        node: node.into(),
+        incarnation,
+        lease: LeaseId(7),
+        term: Term(term),
+    };
+    Some(Seen {
+        holder: Some((holder, Stamp(40))),
+        term: Some((Term(term), Stamp(40))),
+    })
+}
+
+fn free(term: u64) -> Option<Seen> {
+    Some(Seen {
+        holder: None,
+        term: Some((Term(term), Stamp(40))),
+    })
+}
+
+/// Brings a node into office for term 4 at time 0.
+fn leader() -> Leadership {
+    let mut l = node("n0", 1);
+    let now = Time(0);
+    assert_eq!(l.on_read(free(3), now), Some(Wish::Grant(TTL)));
+    let granted = Outcome::Granted(LeaseId(9));
+    assert!(matches!(
+        l.on_outcome(Step::Grant, granted, now, now),
+        Some(Wish::Claim(_))
+    ));
+    let won = l.on_outcome(Step::Claim, Outcome::Applied(Stamp(50)), now, now);
+    assert_eq!(
+        won,
+        Some(Wish::Lead {
+            term: Term(4),
+            stamp: Stamp(50)
+        })
+    );
+    l
+}
+
+/// Raising the term and winning the key must be one transaction, conditional on both.
+#[test]
+fn the_claim_is_conditional_on_the_free_key_and_the_term() {
+    let mut l = node("n0", 1);
+    l.on_read(free(3), Time(0));
+    let wish = l.on_outcome(Step::Grant, Outcome::Granted(LeaseId(9)), Time(0), Time(0));
+    let Some(Wish::Claim(txn)) = wish else {
+        panic!("{wish:?}")
+    };
+    let conditions: Vec<(&str, u64)> = txn
+        .conditions
+        .iter()
+        .map(|c| (c.key.as_str(), c.stamp.0))
+        .collect();
+    assert_eq!(conditions, [("lead/holder", 0), ("lead/term", 40)]);
+    assert_eq!(txn.changes.len(), 2);
+}
+
+/// Validity counts from when the renewal was sent, not from when its answer came.
+#[test]
+fn validity_counts_from_the_sending_of_the_renewal() {
+    let mut l = leader();
+    assert_eq!(l.tick(Time(1000)), Some(Wish::Renew(LeaseId(9))));
+    l.on_outcome(Step::Renew, Outcome::Extended, Time(1000), Time(2500));
+    assert!(l.is_certain(Time(3900)));
+    assert!(!l.is_certain(Time(4000)));
+    assert!(l.is_leading());
+}
+
+/// An outage is not deposition: the leader stays in office, uncertain, until proof of a successor.
+#[test]
+fn an_outage_leaves_the_leader_in_office_until_a_higher_term_shows() {
+    let mut l = leader();
+    for second in 1..60 {
+        let now = Time(second * 1000);
+        l.tick(now);
+        l.on_outcome(Step::Renew, Outcome::Refused, now, now);
+    }
+    assert!(l.is_leading() && !l.is_certain(Time(60_000)));
+    assert_eq!(l.heard_of(Term(4), None), None);
+    assert_eq!(l.heard_of(Term(5), Some("n1")), Some(Wish::StepDown));
+    assert_eq!(l.leader.as_deref(), Some("n1"));
+}
+
+#[test]
+fn a_lease_that_is_gone_ends_the_office() {
+    let mut l = leader();
+    l.tick(Time(1000));
+    let wish = l.on_outcome(Step::Renew, Outcome::LeaseGone, Time(1000), Time(1010));
+    assert_eq!(wish, Some(Wish::StepDown));
+}
+
+/// A restarted process must not take its dead predecessor's record for its own office, but may
+/// end that lease at once.
+#[test]
+fn a_restarted_process_ends_its_predecessors_lease() {
+    let mut l = node("n0", 2);
+    assert_eq!(
+        l.on_read(held_by("n0", 12345, 3), Time(0)),
+        Some(Wish::End(LeaseId(7)))
+    );
+    assert_eq!(l.role, Role::Following);
+}
+
+/// The claim's answer was lost, but the record shows that it was carried out.
+#[test]
+fn a_lost_claim_that_was_carried_out_is_recognised() {
+    let mut l = node("n0", 3);
+    l.on_read(free(3), Time(0));
+    let wish = l.on_outcome(Step::Grant, Outcome::Granted(LeaseId(7)), Time(0), Time(0));
+    let Some(Wish::Claim(txn)) = wish else {
+        panic!("{wish:?}")
+    };
+    l.on_outcome(Step::Claim, Outcome::Unknown, Time(0), Time(900));
+    assert_eq!(l.role, Role::Following);
+    let lichencrank::protocol::state::Change::Put { value, .. } = &txn.changes[0] else {
+        panic!("the holder's record comes first")
+    };
+    let holder: HolderRecord = value.deserialized().expect("a holder's record");
+    let seen = Seen {
+        holder: Some((holder, Stamp(44))),
+        term: Some((Term(4), Stamp(44))),
+    };
+    let wish = l.on_read(Some(seen), Time(1000));
+    assert_eq!(
+        wish,
+        Some(Wish::Lead {
+            term: Term(4),
+            stamp: Stamp(44)
+        })
+    );
+    // Nobody knows any more when the lease was granted, so it has to be renewed before it counts.
+    assert!(!l.is_certain(Time(3500)));
+    assert_eq!(l.tick(Time(1000)), Some(Wish::Renew(LeaseId(7))));
+}
+
+/// A leader that made room must not take the key straight back.
+#[test]
+fn a_leader_that_made_room_rests() {
+    let mut l = leader();
+    assert_eq!(l.resign(Time(1000)), Some(Wish::Resign(LeaseId(9))));
+    assert_eq!(l.on_read(free(4), Time(1100)), None);
+    assert_eq!(l.on_read(free(4), Time(4100)), Some(Wish::Grant(TTL)));
+}
+
+/// A node in the wrong zone lets the key lie for its handicap, no longer.
+#[test]
+fn a_handicap_delays_the_claim() {
+    let mut l = node("n0", 1);
+    l.handicap = Duration::from_millis(900);
+    assert_eq!(l.on_read(free(3), Time(5000)), None);
+    assert_eq!(l.on_read(free(3), Time(5400)), None);
+    assert_eq!(l.on_read(free(3), Time(5900)), Some(Wish::Grant(TTL)));
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,83 @@
+//! Settings: what is refused, and that the refusal names the field.
+
+use lichencrank::settings::{Settings, Tuning};
+use serde_json::{json, Value};
+
+fn good() -> Value {
+    json!({
+        "host_name": "n0", "area": "a", "front": "127.0.0.1:1", "internal_addr": "127.0.0.1:2",
+        "others": [{"host_name": "n1", "area": "a", "addr": "127.0.0.1:3", "new": 1}],
+        "outside": {"cloud": "127.0.0.1:4", "state": "127.0.0.1:5"},
+        "settings": {
+            "zones": ["a"],
+            "teams": [{"name": "t", "cpus": 0.0, "cpus_max": 0.0, "gpus": null}],
+            "workers": {"report_s": 3.0, "lease_s": 16.0, "cancel_s": 41.0},
+            "state": {"rps": 150.0, "write_rps": 60.0, "value_kb": 32.0, "txn_ops": 24},
+            "cloud": {"rps": 5.0, "list_lag_s": 5.0},
+            "resources": {"cpu_share": 0.064, "mem_mb": 40.0, "sockets": 800},
+            "tomorrow": {"anything": []}
+        }
+    })
+}
+
+#[test]
+fn unknown_fields_are_ignored_and_null_means_absent() {
+    let mut settings = good();
+    settings["others"] = Value::Null;
+    let settings = Settings::parse(&settings.to_string()).expect("good settings");
+    assert!(settings.peers.is_empty());
+    let team = &settings.settings.teams[0];
+    // 0 is no limit and no guarantee: a team with both must be able to run.
+    assert_eq!(team.limits(), (f64::INFINITY, f64::INFINITY));
+    assert_eq!(team.guaranteed(), (0.0, 0.0));
+}
+
+#[test]
+fn what_is_missing_or_contradictory_is_named() {
+    let cases: &[(&str, Value, &str)] = &[
+        ("/host_name", json!(null), "host_name"),
+        ("/host_name", json!(""), "host_name"),
+        ("/front", json!("nowhere"), "front"),
+        ("/outside/state", json!(null), "outside.state"),
+        ("/settings/zones", json!([]), "zones"),
+        ("/settings/workers/lease_s", json!(2.0), "lease_s"),
+        ("/settings/workers/cancel_s", json!(-1.0), "cancel_s"),
+        ("/settings/state/write_rps", json!(0), "write_rps"),
+        ("/settings/state/txn_ops", json!(1), "txn_ops"),
+        ("/settings/resources/sockets", json!(3), "sockets"),
+        (
+            "/settings/teams",
+            json!([{"name": "t"}, {"name": "t"}]),
+            "twice",
+        ),
+        (
+            "/settings/teams",
+            json!([{"name": "t", "cpus": 9.0, "cpus_max": 8.0}]),
+            "more than its limit",
+        ),
+        ("/others/0/host_name", json!("n0"), "twice"),
+    ];
+    for (at, value, names) in cases {
+        let mut settings = good();
+        let slot = settings.pointer_mut(at).expect("a field");
+        *slot = value.clone();
+        let error = Settings::parse(&settings.to_string()).expect_err(at);
+        assert!(error.contains(names), "{at} = {value}: {error}");
+        assert!(!error.contains('\n'), "{error}");
+    }
+}
+
+#[test]
+fn tuning_is_optional_and_checked() {
+    for text in ["", "leader_lease_s: 5\nnot_known: 1\n"] {
+        assert!(Tuning::parse(text).is_ok(), "{text}");
+    }
+    for (text, names) in [
+        ("leader_lease_s: 0.01", "leader_lease_s"),
+        ("idle_return_s: .nan", "idle_return_s"),
+        ("boot_patience: soon", "boot_patience"),
+    ] {
+        let error = Tuning::parse(text).expect_err(text);
+        assert!(error.contains(names), "{text}: {error}");
+    }
+}
--- /dev/null
+++ b/tests/traces.rs
@@ -0,0 +1,472 @@
+//! Replays the kept traces in `tests/traces/`: what happened, and what the controller did about it.
+//!
+//! Lines that begin with `>` are the controller's doing; all others are events. A trace is right if
+//! replaying its events gives exactly its `>` lines. `UPDATE_TRACES=1 cargo test` writes them anew,
+//! for a person to read and judge before they are kept. `tests/traces/README.md` has the events.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::fs;
+use std::path::Path;
+
+use lichencrank::bookkeeping::records::{ChunkRecord, JobRecord};
+use lichencrank::coordination::fleet::RentalResult;
+use lichencrank::coordination::{Action, CommandResult, Controller, Deposed, Rulebook};
+use lichencrank::protocol::cloud::{ListedHost, ListedStatus, MachineType};
+use lichencrank::protocol::state::Change;
+use lichencrank::protocol::users::{JobSpec, Priority, Shape};
+use lichencrank::protocol::workers::{Cause, Order, Report, TaskReport, TaskState};
+use lichencrank::protocol::Amount;
+use lichencrank::settings::{Team, Tuning};
+use lichencrank::types::{Attempt, HostName, JobId, Session, Stamp, TaskId, Term, Tick, Time};
+use std::time::Duration;
+
+const TERM: Term = Term(5);
+
+fn machine(name: &str, cpus: f64, memory: f64, price: f64, zones: &[&str]) -> MachineType {
+    MachineType {
+        name: name.into(),
+        cpus: Amount(cpus),
+        gpus: Amount(0.0),
+        memory_gb: Amount(memory),
+        fetch_gb_per_s: Amount(1.0),
+        price: Amount(price),
+        spot_price: Amount(price / 3.0),
+        boot_s: Amount(30.0),
+        zones: zones.iter().map(|z| (*z).to_owned()).collect(),
+    }
+}
+
+fn team(name: &str, guaranteed: f64, limit: f64) -> Team {
+    Team {
+        name: name.into(),
+        cpus: Some(guaranteed),
+        cpus_max: Some(limit),
+        gpus: None,
+        gpus_max: None,
+    }
+}
+
+fn rules() -> Rulebook {
+    Rulebook {
+        report: Duration::from_secs(3),
+        lease: Duration::from_secs(16),
+        cancel: Duration::from_secs(40),
+        list_lag: Duration::from_secs(5),
+        chunk_size: 4,
+        teams: vec![team("open", 0.0, 0.0), team("tight", 4.0, 8.0)],
+        tuning: Tuning::default(),
+    }
+}
+
+/// A trace being replayed.
+struct Replay {
+    controller: Controller,
+    now: Time,
+    stamp: u64,
+    out: String,
+    /// Direct commands without an answer, by machine.
+    commands: BTreeMap<String, (Session, Vec<Order>)>,
+    /// Kind, zone and spot of the machines that a trace names.
+    machines: BTreeMap<String, (String, String, bool)>,
+}
+
+fn id(number: &str) -> JobId {
+    JobId(number.parse().expect("a job's number"))
+}
+
+fn host(name: &str) -> HostName {
+    HostName::new(name)
+}
+
+/// `7/0#1` is attempt 1 of task 0 of job 7.
+fn attempt(text: &str) -> (TaskId, Attempt) {
+    let (task, attempt) = text.split_once('#').expect("task#attempt");
+    let (job, index) = task.split_once('/').expect("job/index");
+    let index = index.parse().expect("an index");
+    (
+        TaskId {
+            job: id(job),
+            index,
+        },
+        Attempt(attempt.parse().expect("an attempt")),
+    )
+}
+
+fn show(task: TaskId, attempt: Attempt) -> String {
+    format!("{}/{}#{attempt}", task.job.0, task.index)
+}
+
+fn show_order(order: &Order) -> String {
+    match order {
+        Order::Run { task, attempt } => format!("run {}", show(*task, *attempt)),
+        Order::Stop { task, attempt, .. } => format!("stop {}", show(*task, *attempt)),
+        Order::Clear { task, attempt } => format!("clear {}", show(*task, *attempt)),
+    }
+}
+
+fn show_orders(orders: &[Order]) -> String {
+    let orders: Vec<String> = orders.iter().map(show_order).collect();
+    if orders.is_empty() {
+        "nothing".into()
+    } else {
+        orders.join(", ")
+    }
+}
+
+impl Replay {
+    fn new() -> Replay {
+        let types = vec![
+            machine("small", 4.0, 16.0, 0.3, &["a", "b"]),
+            machine("big", 16.0, 64.0, 1.2, &["a"]),
+        ];
+        Replay {
+            controller: Controller::new(TERM, Stamp(1), rules(), types, Time(0)),
+            now: Time(0),
+            stamp: 10,
+            out: String::new(),
+            commands: BTreeMap::new(),
+            machines: BTreeMap::new(),
+        }
+    }
+
+    fn say(&mut self, line: &str) {
+        writeln!(self.out, "> {line}").expect("writing to a string");
+    }
+
+    fn acted(&mut self) {
+        for action in self.controller.take_actions() {
+            match action {
+                Action::Command {
+                    host,
+                    session,
+                    orders,
+                    ..
+                } => {
+                    self.say(&format!("command {host}: {}", show_orders(&orders)));
+                    self.commands.insert(host.to_string(), (session, orders));
+                }
+                Action::Rent(r) => {
+                    let spot = if r.spot { "spot" } else { "ordinary" };
+                    let (request, count) = (&r.request, r.count);
+                    self.say(&format!(
+                        "rent {request}: {count} {} in {}, {spot}",
+                        r.kind, r.zone
+                    ));
+                }
+                Action::Release(hosts) => {
+                    let names: Vec<&str> = hosts.iter().map(HostName::as_str).collect();
+                    self.say(&format!("release {}", names.join(" ")));
+                }
+            }
+        }
+    }
+
+    fn checked(&mut self, result: Result<(), Deposed>) {
+        if let Err(Deposed(term)) = result {
+            self.say(&format!("deposed by term {term}"));
+        }
+    }
+
+    fn job(&mut self, words: &[&str]) {
+        let field = |name: &str| {
+            let at = words.iter().position(|w| *w == name)?;
+            words.get(at + 1).copied()
+        };
+        let number = |name: &str, default: f64| {
+            field(name).map_or(default, |v| v.parse().expect("a number"))
+        };
+        let spec = JobSpec {
+            id: id(words[0]),
+            class: field("class").unwrap_or("work").into(),
+            team: field("team").unwrap_or("open").into(),
+            shape: Shape::Array,
+            priority: match field("priority") {
+                Some("high") => Priority::High,
+                _ => Priority::Normal,
+            },
+            tasks: number("tasks", 1.0) as u64,
+            cpus: Amount(number("cpus", 2.0)),
+            gpus: Amount(0.0),
+            memory_gb: Amount(number("memory", 2.0)),
+            image: "img".into(),
+            image_gb: Amount(1.0),
+            types: None,
+            zone: field("zone").map(str::to_owned),
+            one_zone: words.contains(&"together"),
+            spread: words.contains(&"apart"),
+            spot: !words.contains(&"ordinary"),
+            estimate_s: Amount(number("guess", 30.0)),
+            checkpoint_s: Amount(0.0),
+            save_s: Amount(0.0),
+            deadline_s: field("due").map(|d| Amount(d.parse().expect("a number"))),
+        };
+        self.stamp += 1;
+        let record = JobRecord {
+            spec,
+            at_ms: self.now.0,
+            chunk: 4,
+        };
+        self.controller.on_job(record, Stamp(self.stamp));
+    }
+
+    /// `vm-1 1/5 token 5: 7/0#1 running, 7/1#1 ended done`
+    fn report(&self, text: &str) -> Report {
+        let (head, tasks) = text.split_once(':').unwrap_or((text, ""));
+        let words: Vec<&str> = head.split_whitespace().collect();
+        let (session, tick) = words[1].split_once('/').expect("session/tick");
+        let after = |name: &str| {
+            let at = words.iter().position(|w| *w == name)?;
+            words.get(at + 1).and_then(|v| v.parse::<f64>().ok())
+        };
+        let (kind, zone, spot) =
+            self.machines
+                .get(words[0])
+                .cloned()
+                .unwrap_or(("small".into(), "a".into(), true));
+        let tasks = tasks.split(',').filter(|t| !t.trim().is_empty()).map(|t| {
+            let words: Vec<&str> = t.split_whitespace().collect();
+            let (task, attempt) = attempt(words[0]);
+            let state = match words[1] {
+                "fetching" => TaskState::Fetching,
+                "running" => TaskState::Running,
+                "saving" => TaskState::Saving,
+                _ => TaskState::Ended,
+            };
+            let cause = words.get(2).map(|c| match *c {
+                "done" => Cause::Done,
+                "halted" => Cause::Stopped,
+                "error" => Cause::Error,
+                "no_room" => Cause::NoRoom,
+                _ => Cause::Other,
+            });
+            TaskReport {
+                task,
+                attempt,
+                state,
+                cause,
+            }
+        });
+        Report {
+            host: host(words[0]),
+            address: "127.0.0.1:9000".into(),
+            kind,
+            zone,
+            spot,
+            session: Session(session.parse().expect("a session")),
+            tick: Tick(tick.parse().expect("a tick")),
+            token: Term(after("token").unwrap_or(TERM.0 as f64) as u64),
+            notice_s: after("notice").map(Amount),
+            tasks: tasks.collect(),
+        }
+    }
+
+    fn write(&mut self, how: &[&str]) {
+        let Some(txn) = self.controller.next_batch(16) else {
+            return self.say("nothing to write");
+        };
+        for change in &txn.changes {
+            let line = match change {
+                Change::Put { key, value, .. } => match value.deserialized::<ChunkRecord>() {
+                    Ok(r) => {
+                        let booked: Vec<String> = r
+                            .booked
+                            .iter()
+                            .map(|b| format!("{}#{}@{}/{}", b.0, b.1, b.2, b.3))
+                            .collect();
+                        let done = r.done_count();
+                        format!("set {key}: {done} done, booked [{}]", booked.join(" "))
+                    }
+                    Err(_) => format!("set {key}"),
+                },
+                Change::Delete { key } => format!("remove {key}"),
+            };
+            self.say(&line);
+        }
+        let guards: Vec<String> = txn
+            .conditions
+            .iter()
+            .map(|c| format!("{}={}", c.key, c.stamp))
+            .collect();
+        self.say(&format!("if {}", guards.join(" ")));
+        let now = self.now;
+        let Controller { ledger, jobs, .. } = &mut self.controller;
+        let verdict = match how {
+            [] => {
+                self.stamp += 1;
+                ledger.applied(jobs, Stamp(self.stamp), now)
+            }
+            ["lost"] => return ledger.lost(),
+            ["refused"] => return ledger.refused(),
+            ["conflict", keys @ ..] => {
+                let keys: Vec<String> = keys.iter().map(|k| (*k).to_owned()).collect();
+                ledger.conflict(jobs, &keys)
+            }
+            other => panic!("write {other:?}?"),
+        };
+        let result = self.controller.on_verdict(verdict, now);
+        self.checked(result);
+    }
+
+    fn run_record(&mut self, words: &[&str]) {
+        // `record 7 0 stamp 9 booked 0#1@vm-1/1 ... done 2`
+        let mut record = ChunkRecord {
+            size: 4,
+            team: "open".into(),
+            cpus: 2.0,
+            mem: 2.0,
+            ..ChunkRecord::default()
+        };
+        let at = words
+            .iter()
+            .position(|w| *w == "booked")
+            .map_or(words.len(), |p| p + 1);
+        for word in words[at.min(words.len())..]
+            .iter()
+            .filter(|w| w.contains('@'))
+        {
+            let (task, place) = word.split_once('@').expect("task@place");
+            let (offset, attempt) = task.split_once('#').expect("offset#attempt");
+            let (name, session) = place.split_once('/').expect("host/session");
+            record.booked.push((
+                offset.parse().expect("an offset"),
+                Attempt(attempt.parse().expect("an attempt")),
+                host(name),
+                Session(session.parse().expect("a session")),
+            ));
+        }
+        let chunk = words[1].parse().expect("a chunk");
+        self.controller
+            .on_run_record(id(words[0]), chunk, &record, Stamp(9), self.now);
+    }
+
+    fn event(&mut self, line: &str) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let rest = line.split_once(' ').map_or("", |(_, rest)| rest);
+        let now = self.now;
+        match words[0] {
+            "at" => self.now = Time((words[1].parse::<f64>().expect("seconds") * 1000.0) as u64),
+            "machine" => {
+                let spot = !words.contains(&"ordinary");
+                let is = (words[2].to_owned(), words[3].to_owned(), spot);
+                self.machines.insert(words[1].to_owned(), is);
+            }
+            "job" => self.job(&words[1..]),
+            "record" => self.run_record(&words[1..]),
+            "loaded" => self.controller.on_loaded(now),
+            "cancel" => self.controller.on_job_gone(id(words[1]), now),
+            "report" => {
+                let report = self.report(rest);
+                match self.controller.on_report(&report, now) {
+                    Ok(orders) => self.say(&format!("answer: {}", show_orders(&orders))),
+                    Err(Deposed(term)) => self.say(&format!("deposed by term {term}")),
+                }
+            }
+            "executed" | "unsent" | "lost" => {
+                let (session, orders) = self.commands.remove(words[1]).expect("a command is open");
+                let result = match words[0] {
+                    "executed" => CommandResult::Report(Box::new(self.report(rest))),
+                    "unsent" => CommandResult::NotSent,
+                    _ => CommandResult::Lost,
+                };
+                let name = host(words[1]);
+                let result = self
+                    .controller
+                    .on_commanded(&name, session, &orders, result, now);
+                self.checked(result);
+            }
+            "write" => self.write(&words[1..]),
+            "reread" => {
+                for (job, chunk) in self.controller.ledger.take_unsure() {
+                    let Controller { ledger, jobs, .. } = &mut self.controller;
+                    ledger.reread(jobs, job, chunk, Stamp(words[1].parse().expect("a stamp")));
+                }
+            }
+            "tick" => self
+                .controller
+                .tick(now, now.0, !words.contains(&"uncertain")),
+            "rented" => {
+                let result = match &words[2..] {
+                    ["unknown"] => RentalResult::Unknown,
+                    ["none"] => RentalResult::NoCapacity,
+                    names => RentalResult::Rented(names.iter().map(|n| host(n)).collect()),
+                };
+                self.controller.on_rented(words[1], result, now);
+            }
+            "released" => {
+                let confirmed = !words.contains(&"unknown");
+                let names = [host(words[1])];
+                self.controller.on_released(&names, confirmed, now);
+            }
+            "listed" => {
+                let status = match words[2] {
+                    "running" => ListedStatus::Running,
+                    "failed" => ListedStatus::Failed,
+                    _ => ListedStatus::Starting,
+                };
+                let item = ListedHost {
+                    name: host(words[1]),
+                    kind: "small".into(),
+                    zone: "a".into(),
+                    spot: true,
+                    status,
+                    age_s: Amount(words.get(4).map_or(0.0, |a| a.parse().expect("an age"))),
+                };
+                self.controller.on_listed(&[item], now);
+            }
+            "show" => match self.controller.jobs.get(&id(words[1])) {
+                Some(j) => {
+                    let line = format!(
+                        "{:?}: {} waiting, {} booked, {} done",
+                        j.phase,
+                        j.waiting(),
+                        j.booked,
+                        j.done
+                    );
+                    self.say(&line);
+                }
+                None => self.say("forgotten"),
+            },
+            other => panic!("unknown event {other:?}"),
+        }
+        self.acted();
+    }
+}
+
+fn replay(trace: &str) -> String {
+    let mut replay = Replay::new();
+    for line in trace.lines().filter(|l| !l.starts_with('>')) {
+        writeln!(replay.out, "{line}").expect("writing to a string");
+        if !line.trim().is_empty() && !line.starts_with('#') {
+            replay.event(line);
+        }
+    }
+    replay.out
+}
+
+#[test]
+fn kept_traces_replay_to_the_letter() {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/traces");
+    let mut wrong = Vec::new();
+    let mut count = 0;
+    for entry in fs::read_dir(dir).expect("the traces") {
+        let path = entry.expect("a trace").path();
+        if path.extension().is_none_or(|e| e != "trace") {
+            continue;
+        }
+        count += 1;
+        let kept = fs::read_to_string(&path).expect("a trace");
+        let replayed = replay(&kept);
+        if replayed == kept {
+            continue;
+        }
+        if std::env::var_os("UPDATE_TRACES").is_some() {
+            fs::write(&path, replayed).expect("writing a trace");
+        } else {
+            let differs = kept.lines().zip(replayed.lines()).find(|(a, b)| a != b);
+            wrong.push(format!("{}: {differs:?}", path.display()));
+        }
+    }
+    assert!(count >= 15, "only {count} traces were found");
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
--- /dev/null
+++ b/tests/wire.rs
@@ -0,0 +1,262 @@
+//! Tables for what comes over the wire: good, odd, and hostile.
+
+use ciborium::Value;
+use lichencrank::protocol::users::{read_submission, Submission};
+use lichencrank::protocol::{decode, encode, workers};
+use lichencrank::transport::http::{parse_request, parse_response, Malformed, Parsed, MAX_BODY};
+use lichencrank::types::{JobId, TaskId};
+
+#[test]
+fn requests() {
+    let whole = |bytes: &str| parse_request(bytes.as_bytes());
+    let head = "POST /x HTTP/1.1\r\n";
+    let cases = [
+        (format!("{head}\r\n"), 0, false),
+        (format!("{head}Content-Length: 3\r\n\r\nabc"), 3, false),
+        (
+            format!("{head}content-length:3\r\nConnection: Keep-Alive, Close\r\n\r\nabc"),
+            3,
+            true,
+        ),
+        ("GET /x HTTP/1.0\r\n\r\n".into(), 0, true),
+    ];
+    for (text, body, close) in cases {
+        match whole(&text) {
+            Ok(Parsed::Whole(request, used)) => {
+                assert_eq!(
+                    (request.body.len(), request.close, used),
+                    (body, close, text.len()),
+                    "{text:?}"
+                );
+            }
+            other => panic!("{text:?}: {other:?}"),
+        }
+        // However it is split, it is whole only at its end.
+        for cut in 0..text.len() {
+            assert_eq!(
+                whole(&text[..cut]),
+                Ok(Parsed::Partial),
+                "{cut} bytes of {text:?}"
+            );
+        }
+    }
+    let long = format!("{head}X: {}\r\n\r\n", "a".repeat(9000));
+    let many = format!("{head}{}\r\n", "X: a\r\n".repeat(60));
+    let refused = [
+        (format!("{head}Content-Length: -1\r\n\r\n"), 400),
+        (
+            format!("{head}Content-Length: 1\r\nContent-Length: 2\r\n\r\nab"),
+            400,
+        ),
+        (
+            format!("{head}Content-Length: {}\r\n\r\n", MAX_BODY + 1),
+            400,
+        ),
+        (
+            format!("{head}Content-Length: 99999999999999999999999\r\n\r\n"),
+            400,
+        ),
+        (format!("{head}Transfer-Encoding: chunked\r\n\r\n"), 411),
+        (
+            format!("{head}Expect: 100-continue\r\nContent-Length: 1\r\n\r\n"),
+            417,
+        ),
+        (long[..8500].to_owned(), 431),
+        (long, 431),
+        (many, 431),
+        ("\u{1}\u{2}\r\n\r\n".into(), 400),
+    ];
+    for (text, status) in refused {
+        assert_eq!(whole(&text), Err(Malformed(status)), "{text:.60?}");
+    }
+}
+
+#[test]
+fn responses() {
+    let chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    for (text, body) in [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", "hi"),
+        (
+            "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nRetry-After: 4\r\n\r\n",
+            "",
+        ),
+        (chunked, "abcde"),
+    ] {
+        match parse_response(text.as_bytes(), false) {
+            Ok(Parsed::Whole(response, used)) => {
+                assert_eq!(
+                    (response.body, used),
+                    (body.as_bytes().to_vec(), text.len())
+                );
+            }
+            other => panic!("{text:?}: {other:?}"),
+        }
+        for cut in 0..text.len() {
+            assert_eq!(
+                parse_response(&text.as_bytes()[..cut], false),
+                Ok(Parsed::Partial)
+            );
+        }
+    }
+    let endless = b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n";
+    assert_eq!(parse_response(endless, false), Err(Malformed(413)));
+    let huge_chunk = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n";
+    assert_eq!(parse_response(huge_chunk, false), Err(Malformed(413)));
+}
+
+/// Bytes at random must never panic a parser. The seed is fixed.
+#[test]
+fn noise() {
+    let mut random = fastrand::Rng::with_seed(7);
+    let good = encode(&Value::Map(job_fields()));
+    for _ in 0..20_000 {
+        let mut bytes = good.clone();
+        for _ in 0..random.usize(1..6) {
+            let at = random.usize(..bytes.len());
+            bytes[at] = random.u8(..);
+        }
+        bytes.truncate(random.usize(..=good.len()));
+        // Whatever it is taken for, a job that is accepted keeps within the limits.
+        if let Submission::Good(spec) = read_submission(&bytes) {
+            assert!(spec.tasks >= 1 && spec.tasks <= 100_000);
+            assert!(spec.cpus.0.is_finite() && spec.cpus.0 >= 0.0);
+        }
+        assert!(decode::<workers::Report>(&bytes).is_err());
+        let _ = parse_request(&bytes);
+        let _ = parse_response(&bytes, random.bool());
+    }
+}
+
+fn job_fields() -> Vec<(Value, Value)> {
+    let text = |s: &str| Value::Text(s.to_owned());
+    vec![
+        (text("ref"), text("job-000412")),
+        (text("jobclass"), text("train")),
+        (text("crew"), text("vision")),
+        (text("shape"), text("sweep")),
+        (text("urgency"), text("high")),
+        (text("pieces"), Value::from(16)),
+        (text("cpus"), Value::from(8.0)),
+        // Whole numbers may come as integers.
+        (text("cards"), Value::from(0)),
+        (text("ramGb"), Value::from(64.5)),
+        (text("bundle"), text("img-07")),
+        (text("imageGb"), Value::from(6.25)),
+        (text("hosttypes"), Value::Null),
+        (text("samePlace"), Value::Bool(true)),
+        (text("apart"), Value::Bool(false)),
+        (text("loaners"), Value::Bool(true)),
+        (text("guessS"), Value::from(240.0)),
+        (text("snapshotS"), Value::from(0.0)),
+        (text("stashS"), Value::from(0.0)),
+        (text("dueS"), Value::from(900.0)),
+        (text("newField"), Value::from("ignored")),
+    ]
+}
+
+fn submission(change: impl FnOnce(&mut Vec<(Value, Value)>)) -> Submission {
+    let mut fields = job_fields();
+    change(&mut fields);
+    read_submission(&encode(&Value::Map(fields)))
+}
+
+fn set(name: &'static str, value: Value) -> impl FnOnce(&mut Vec<(Value, Value)>) {
+    move |fields| {
+        fields.retain(|(k, _)| k.as_text() != Some(name));
+        fields.push((Value::Text(name.into()), value));
+    }
+}
+
+#[test]
+fn submissions() {
+    assert!(matches!(submission(|_| {}), Submission::Good(_)));
+    assert!(matches!(
+        submission(set("dueS", Value::Null)),
+        Submission::Good(_)
+    ));
+    // Malformed, but they name a job that may be known: that has to be looked up first.
+    let bad = [
+        ("pieces", Value::from(0)),
+        ("pieces", Value::from(100_001)),
+        ("pieces", Value::from(-1)),
+        ("pieces", Value::from("16")),
+        ("cpus", Value::from(f64::NAN)),
+        ("cpus", Value::from(-1.0)),
+        ("ramGb", Value::from(f64::INFINITY)),
+        ("urgency", Value::from("soon")),
+        ("shape", Value::from("circle")),
+        ("samePlace", Value::from(1)),
+        ("hosttypes", Value::from("g8")),
+        ("crew", Value::from("x".repeat(5000))),
+    ];
+    for (name, value) in bad {
+        let read = submission(set(name, value.clone()));
+        assert!(
+            matches!(read, Submission::Bad(JobId(412), _)),
+            "{name} {value:?}: {read:?}"
+        );
+    }
+    for name in ["jobclass", "crew", "pieces", "bundle", "guessS"] {
+        let read = submission(|f| f.retain(|(k, _)| k.as_text() != Some(name)));
+        assert!(
+            matches!(read, Submission::Bad(..)),
+            "without {name}: {read:?}"
+        );
+    }
+    // Not even a job's name can be read.
+    for body in [&b""[..], b"\xff", b"\x80", b"hello", b"\xa1\x63ref\x01"] {
+        assert!(
+            matches!(read_submission(body), Submission::Hopeless(_)),
+            "{body:?}"
+        );
+    }
+    let hopeless = submission(set("ref", Value::from("job-12")));
+    assert!(matches!(hopeless, Submission::Hopeless(_)));
+}
+
+/// Deeply nested input must not exhaust the stack.
+#[test]
+fn nesting() {
+    let mut body = vec![0x81; 60_000];
+    body.push(0x01);
+    assert!(matches!(read_submission(&body), Submission::Hopeless(_)));
+}
+
+#[test]
+fn ids() {
+    for good in ["job-000000", "job-000412", "job-1000000"] {
+        assert_eq!(
+            JobId::parse(good).map(|j| j.to_string()).as_deref(),
+            Some(good)
+        );
+    }
+    for bad in [
+        "",
+        "job-",
+        "job-412",
+        "job-0000412",
+        "Job-000412",
+        "job-00041x",
+        "job-000412/",
+        "job-+00412",
+        "job-9999999999999999999",
+    ] {
+        assert_eq!(JobId::parse(bad), None, "{bad}");
+    }
+    assert_eq!(
+        TaskId::parse("job-000412/3"),
+        Some(TaskId {
+            job: JobId(412),
+            index: 3
+        })
+    );
+    for bad in [
+        "job-000412",
+        "job-000412/",
+        "job-000412/-1",
+        "job-000412/99999999999",
+    ] {
+        assert_eq!(TaskId::parse(bad), None, "{bad}");
+    }
+}
