--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -603,7 +603,6 @@
             std::fs::write(&file, settings.to_string()).expect("writing settings");
             let mut node = Node {
                 front: *front,
-                internal: *internal,
                 settings: file,
                 child: None,
             };
