--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -973,8 +973,20 @@
         let count = |life| self.hosts.values().filter(|h| h.life == life).count();
         let waiting: u64 = self.jobs.values().map(|j| u64::from(j.waiting())).sum();
         let booked: usize = self.hosts.values().map(|h| h.bookings.len()).sum();
+        let (mut used, mut closed, mut all) = (0.0, 0.0, 0.0);
+        for host in self.hosts.values().filter(|h| h.life == Life::Up) {
+            let cpus = host
+                .kind
+                .and_then(|k| self.types.get(k))
+                .map_or(0.0, |t| t.cpus.0);
+            used += host.used.cpus;
+            all += cpus;
+            if host.cordon.is_some() {
+                closed += cpus - host.used.cpus;
+            }
+        }
         format!(
-            "{} jobs, {waiting} tasks waiting, {booked} booked; machines: {} up, {} expected, {} silent, {} returning",
+            "{} jobs, {waiting} tasks waiting, {booked} booked; {used} of {all} CPUs used, {closed} closed; machines: {} up, {} expected, {} silent, {} returning",
             self.jobs.len(),
             count(Life::Up),
             count(Life::Expected),
