Relay users' requests to a peer when the state service does not answer

Excluded: an outage for all, as another node led on. Conclusion: kept; such a node also stays in the balancer.

--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -9,6 +9,7 @@
 use crate::coordination::placement;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::encode;
+use crate::protocol::peers::{self, Relay, Relayed};
 use crate::protocol::state::{value, Change, Txn};
 use crate::protocol::users::{self, JobSpec, JobState, JobStatus, Problem, Submission};
 use crate::settings::Team;
@@ -19,7 +20,7 @@
 const SUBMIT_LIMIT: Duration = Duration::from_millis(4200);
 const POLL_LIMIT: Duration = Duration::from_millis(1700);
 /// How long one request to the state service may take before it counts as lost.
-const ASK_LIMIT: Duration = Duration::from_millis(900);
+const ASK_LIMIT: Duration = Duration::from_millis(450);
 /// More at once than this are told to come back.
 const MAX_OPEN: usize = 400;
 /// Final states kept in memory.
@@ -30,6 +31,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FrontId(u64);
 
+/// Who asked: a user, or another node on a user's behalf.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Client {
+    pub conn: ConnId,
+    pub relayed: bool,
+}
+
 /// What the user wants of a job.
 #[derive(Clone, Debug)]
 enum Want {
@@ -52,10 +60,12 @@
     },
     ReadingOver,
     Withdrawing,
+    /// Another node, which the state service answers, has been asked.
+    Relaying,
 }
 
 struct Open {
-    conn: ConnId,
+    client: Client,
     job: JobId,
     want: Want,
     stage: Stage,
@@ -73,6 +83,7 @@
 pub enum FrontAct {
     Ask(Class, Ask, Duration, FrontAsk),
     Respond(ConnId, Response),
+    Relay(FrontId, Relay),
 }
 
 /// What the leader knows of a job's tasks: finished and booked.
@@ -122,8 +133,16 @@
         std::mem::take(&mut self.acts)
     }
 
-    fn respond(&mut self, conn: ConnId, response: Response) {
-        self.acts.push(FrontAct::Respond(conn, response));
+    fn respond(&mut self, client: Client, mut response: Response) {
+        if client.relayed {
+            let relayed = Relayed {
+                status: response.status,
+                retry_after: response.retry_after,
+                body: response.body,
+            };
+            response = Response::new(200, peers::encode(&relayed));
+        }
+        self.acts.push(FrontAct::Respond(client.conn, response));
     }
 
     fn status(state: JobState, id: JobId, done: u64, running: u64) -> Vec<u8> {
@@ -159,17 +178,17 @@
 
     pub fn submit(
         &mut self,
-        conn: ConnId,
+        client: Client,
         body: &[u8],
         types: &[MachineType],
         at_ms: u64,
         now: Time,
     ) {
         match users::read_submission(body) {
-            Submission::Hopeless(wrong) => self.respond(conn, problem(400, &wrong)),
+            Submission::Hopeless(wrong) => self.respond(client, problem(400, &wrong)),
             Submission::Bad(id, wrong) => {
                 let otherwise = problem(400, &wrong);
-                self.begin(conn, id, Want::Repeat { otherwise }, now);
+                self.begin(client, id, Want::Repeat { otherwise }, now);
             }
             Submission::Good(spec) => {
                 let id = spec.id;
@@ -189,7 +208,7 @@
                         otherwise: unavailable(),
                     },
                 };
-                self.begin(conn, id, want, now);
+                self.begin(client, id, want, now);
             }
         }
     }
@@ -217,27 +236,27 @@
         }
     }
 
-    pub fn poll(&mut self, conn: ConnId, id: &str, now: Time) {
+    pub fn poll(&mut self, client: Client, id: &str, now: Time) {
         match JobId::parse(id) {
-            Some(id) => self.begin(conn, id, Want::Poll, now),
-            None => self.respond(conn, problem(404, "no such job")),
+            Some(id) => self.begin(client, id, Want::Poll, now),
+            None => self.respond(client, problem(404, "no such job")),
         }
     }
 
-    pub fn withdraw(&mut self, conn: ConnId, id: &str, now: Time) {
+    pub fn withdraw(&mut self, client: Client, id: &str, now: Time) {
         match JobId::parse(id) {
-            Some(id) => self.begin(conn, id, Want::Withdraw, now),
-            None => self.respond(conn, problem(404, "no such job")),
+            Some(id) => self.begin(client, id, Want::Withdraw, now),
+            None => self.respond(client, problem(404, "no such job")),
         }
     }
 
-    fn begin(&mut self, conn: ConnId, job: JobId, want: Want, now: Time) {
+    fn begin(&mut self, client: Client, job: JobId, want: Want, now: Time) {
         if let Some(over) = self.finals.get(&job).copied() {
-            self.respond(conn, Self::final_answer(job, over));
+            self.respond(client, Self::final_answer(job, over));
             return;
         }
         if self.open.len() >= MAX_OPEN {
-            self.respond(conn, Response::later(503, 2));
+            self.respond(client, Response::later(503, 2));
             return;
         }
         self.next += 1;
@@ -252,7 +271,7 @@
         self.open.insert(
             id,
             Open {
-                conn,
+                client,
                 job,
                 want,
                 stage: Stage::Queued,
@@ -286,15 +305,50 @@
                 self.queue.push_back(id);
                 return;
             }
-            Stage::Withdrawing => return,
+            Stage::Withdrawing | Stage::Relaying => return,
         };
         self.acts
             .push(FrontAct::Ask(class, ask, ASK_LIMIT, FrontAsk::One(id)));
     }
 
+    /// The state service does not answer this node; perhaps it answers another.
+    fn relay(&mut self, id: FrontId) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        if open.client.relayed || open.stage == Stage::Relaying {
+            return self.finish(id, unavailable());
+        }
+        let relay = match &open.want {
+            Want::Submit(record) => Relay::Submit(encode(&record.spec)),
+            Want::Repeat { .. } | Want::Poll => Relay::Poll(open.job.to_string()),
+            Want::Withdraw => Relay::Withdraw(open.job.to_string()),
+        };
+        self.enter(id, Stage::Relaying);
+        self.acts.push(FrontAct::Relay(id, relay));
+    }
+
+    /// What the other node said; `None` if it could not be asked, or did not answer.
+    pub fn on_relayed(&mut self, id: FrontId, relayed: Option<Relayed>) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let response = match (relayed, &open.want) {
+            (None, _) => unavailable(),
+            (Some(Relayed { status: 404, .. }), Want::Repeat { otherwise }) => otherwise.clone(),
+            (Some(relayed), _) => Response {
+                status: relayed.status,
+                retry_after: relayed.retry_after,
+                body: relayed.body,
+                close: false,
+            },
+        };
+        self.finish(id, response);
+    }
+
     fn finish(&mut self, id: FrontId, response: Response) {
         if let Some(open) = self.open.remove(&id) {
-            self.respond(open.conn, response);
+            self.respond(open.client, response);
         }
     }
 
@@ -376,9 +430,8 @@
                         self.enter(id, Stage::Queued);
                     }
                 }
-                // It can be carried out only once, so repeating it is safe.
-                Outcome::Unknown => self.enter(id, Stage::Queued),
-                _ => self.finish(id, unavailable()),
+                // It can be carried out only once, so repeating it is safe, also by another node.
+                _ => self.relay(id),
             }
         }
     }
@@ -423,12 +476,11 @@
                 self.remember(job, over);
                 self.finish(id, Self::final_answer(job, over));
             }
-            // It was finished or withdrawn by another, or our own answer was lost: look again.
-            (Stage::Withdrawing, Outcome::Conflict(_) | Outcome::Unknown) => {
+            // It was finished or withdrawn by another: look again.
+            (Stage::Withdrawing, Outcome::Conflict(_)) => {
                 self.enter(id, Stage::ReadingLive);
             }
-            (stage, Outcome::Unknown) => self.enter(id, stage),
-            _ => self.finish(id, unavailable()),
+            _ => self.relay(id),
         }
     }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,14 +13,14 @@
 use crate::coordination::leadership::{Leadership, Seen, Step, Wish};
 use crate::coordination::{Controller, Deposed, Reach, Rulebook};
 use crate::protocol::cloud::{MachineType, MachineTypes};
-use crate::protocol::peers::{self, Hello};
+use crate::protocol::peers::{self, Hello, Relay};
 use crate::protocol::state::Page;
 use crate::protocol::workers::{Answer, Elsewhere, Report};
 use crate::protocol::{decode, encode};
 use crate::settings::{Settings, Tuning};
 use crate::transport::{CallId, ConnId, Door, Happening, Request, Response, Transport};
 use crate::types::{seconds, HostName, Stamp, Term, Time};
-use front::{Front, FrontAct, FrontAsk};
+use front::{Client, Front, FrontAct, FrontAsk, FrontId};
 use office::{Office, OfficeAsk};
 
 /// Whose request to the state service it was.
@@ -42,6 +42,7 @@
 const HELLO_LIMIT: Duration = Duration::from_millis(1500);
 const TURN: Duration = Duration::from_millis(100);
 const LEAD_LIMIT: Duration = Duration::from_millis(1200);
+const RELAY_LIMIT: Duration = Duration::from_millis(1200);
 const TYPES_RETRY: Duration = Duration::from_secs(2);
 /// The state service counts as lost to this node after so long without a good answer.
 const STATE_LOST: Duration = Duration::from_millis(2500);
@@ -69,6 +70,7 @@
     types: Vec<MachineType>,
     types_due: Time,
     types_call: Option<CallId>,
+    relays: HashMap<CallId, FrontId>,
     /// The zone that holds the most machines, as far as this node has heard.
     home: Option<String>,
     /// Workers that reported here lately, and when.
@@ -138,6 +140,7 @@
             types: Vec::new(),
             types_due: Time::default(),
             types_call: None,
+            relays: HashMap::new(),
             home: None,
             workers: BTreeMap::new(),
             seat_at: Time::default(),
@@ -182,13 +185,12 @@
         let path = request.target.split('?').next().unwrap_or("");
         let method = request.method.as_str();
         if door == Door::Internal {
-            let response = match (method, path) {
-                ("POST", peers::PATH) => self.on_hello(&request.body),
-                _ => Response::new(404, Vec::new()),
-            };
-            self.transport.respond(conn, &response);
-            return;
+            return self.on_peer_request(conn, method, path, &request.body);
         }
+        let client = Client {
+            conn,
+            relayed: false,
+        };
         let job = path.strip_prefix("/api/jobs/");
         let withdrawn = job.and_then(|j| j.strip_suffix("/withdraw"));
         match (method, path, job, withdrawn) {
@@ -207,10 +209,10 @@
             }
             ("POST", "/api/jobs", ..) => {
                 self.front
-                    .submit(conn, &request.body, &self.types, time_of_day(), now);
+                    .submit(client, &request.body, &self.types, time_of_day(), now);
             }
-            ("POST", _, _, Some(id)) => self.front.withdraw(conn, id, now),
-            ("GET", _, Some(id), None) if !id.contains('/') => self.front.poll(conn, id, now),
+            ("POST", _, _, Some(id)) => self.front.withdraw(client, id, now),
+            ("GET", _, Some(id), None) if !id.contains('/') => self.front.poll(client, id, now),
             (_, "/healthz" | "/agent/beat" | "/api/jobs", ..) | (_, _, _, Some(_)) => {
                 self.transport
                     .respond(conn, &Response::new(405, Vec::new()));
@@ -225,6 +227,46 @@
         }
     }
 
+    fn on_peer_request(&mut self, conn: ConnId, method: &str, path: &str, body: &[u8]) {
+        let now = self.transport.now();
+        let client = Client {
+            conn,
+            relayed: true,
+        };
+        let response = match (method, path) {
+            ("POST", peers::HELLO) => self.on_hello(body),
+            ("POST", peers::RELAY) => match peers::decode(body) {
+                Some(Relay::Submit(job)) => {
+                    self.front
+                        .submit(client, &job, &self.types, time_of_day(), now);
+                    return;
+                }
+                Some(Relay::Poll(id)) => return self.front.poll(client, &id, now),
+                Some(Relay::Withdraw(id)) => return self.front.withdraw(client, &id, now),
+                None => Response::new(400, Vec::new()),
+            },
+            _ => Response::new(404, Vec::new()),
+        };
+        self.transport.respond(conn, &response);
+    }
+
+    /// Passes a user's request on to a node that the state service answers.
+    fn relay(&mut self, id: FrontId, relay: &Relay) {
+        let now = self.transport.now();
+        let fit = self.peers.iter().find(|p| {
+            let heard = p.heard.as_ref();
+            heard.is_some_and(|(at, h)| h.state_ok && now.since(*at) < HELLO_EVERY * 3)
+        });
+        let Some(peer) = fit else {
+            return self.front.on_relayed(id, None);
+        };
+        let body = peers::encode(relay);
+        let call = self
+            .transport
+            .call(peer.addr, "POST", peers::RELAY, &body, RELAY_LIMIT);
+        self.relays.insert(call, id);
+    }
+
     fn on_beat(&mut self, body: &[u8]) -> Response {
         let report: Report = match decode(body) {
             Ok(report) => report,
@@ -312,15 +354,15 @@
             .is_some_and(|at| now.since(at) < STATE_LOST)
     }
 
-    /// A node that the state service does not answer can't serve users. It says so only if another
-    /// can: an outage that all see must not take all nodes out of the balancer.
+    /// A node that the state service does not answer passes requests on to one that it does. Only
+    /// one that hears nobody at all can do nothing for users. An outage that all see takes none
+    /// out of the balancer: they hear each other.
     fn is_healthy(&self, now: Time) -> bool {
-        let other_can = self.peers.iter().any(|p| {
-            p.heard
-                .as_ref()
-                .is_some_and(|(at, h)| h.state_ok && now.since(*at) < HELLO_EVERY * 3)
+        let hears_others = self.peers.iter().any(|p| {
+            let heard = p.heard.as_ref();
+            heard.is_some_and(|(at, _)| now.since(*at) < HELLO_EVERY * 3)
         });
-        self.state_answers(now) || !other_can
+        self.state_answers(now) || hears_others || self.peers.is_empty()
     }
 
     // ---- replies
@@ -334,6 +376,12 @@
             }
             return;
         }
+        if let Some(id) = self.relays.remove(&call) {
+            let answer = result.ok().filter(|r| r.status == 200);
+            let relayed = answer.and_then(|r| peers::decode(&r.body));
+            self.front.on_relayed(id, relayed);
+            return;
+        }
         if self.types_call == Some(call) {
             self.types_call = None;
             let types = result.ok().filter(|r| r.status == 200);
@@ -525,9 +573,9 @@
         for peer in &mut self.peers {
             if peer.call.is_none() && now >= peer.due {
                 peer.due = now.after(HELLO_EVERY);
-                let call = self
-                    .transport
-                    .call(peer.addr, "POST", peers::PATH, &hello, HELLO_LIMIT);
+                let call =
+                    self.transport
+                        .call(peer.addr, "POST", peers::HELLO, &hello, HELLO_LIMIT);
                 peer.call = Some(call);
             }
         }
@@ -581,16 +629,7 @@
                 self.purposes.insert(id, Purpose::Office(term, what));
             }
         }
-        self.front.pump();
-        for act in self.front.take_acts() {
-            match act {
-                FrontAct::Respond(conn, response) => self.transport.respond(conn, &response),
-                FrontAct::Ask(class, ask, limit, what) => {
-                    let id = self.store.ask(now, class, ask, limit);
-                    self.purposes.insert(id, Purpose::Front(what));
-                }
-            }
-        }
+        self.flush_front(now);
         while let Some(next) = self.store.next_outgoing(now) {
             match next {
                 Ok(out) => {
@@ -600,7 +639,31 @@
                             .call(state, out.method, &out.target, &out.body, out.limit);
                     self.store.sent_as(out.id, call);
                 }
-                Err(id) => self.on_outcome(id, Outcome::Refused),
+                Err(id) => {
+                    self.on_outcome(id, Outcome::Refused);
+                    self.flush_front(now);
+                }
+            }
+        }
+    }
+
+    /// Does what the front wants, until it wants nothing more.
+    fn flush_front(&mut self, now: Time) {
+        self.front.pump();
+        loop {
+            let acts = self.front.take_acts();
+            if acts.is_empty() {
+                return;
+            }
+            for act in acts {
+                match act {
+                    FrontAct::Relay(id, relay) => self.relay(id, &relay),
+                    FrontAct::Respond(conn, response) => self.transport.respond(conn, &response),
+                    FrontAct::Ask(class, ask, limit, what) => {
+                        let id = self.store.ask(now, class, ask, limit);
+                        self.purposes.insert(id, Purpose::Front(what));
+                    }
+                }
             }
         }
     }
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -17,12 +17,32 @@
     pub workers: u32,
 }
 
-pub const PATH: &str = "/peer/hello";
+/// A user's request, passed on by a node that the state service does not answer.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Relay {
+    Submit(Vec<u8>),
+    Poll(String),
+    Withdraw(String),
+}
+
+/// What the other node answers to it.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Relayed {
+    pub status: u16,
+    pub retry_after: Option<u32>,
+    pub body: Vec<u8>,
+}
+
+pub const HELLO: &str = "/peer/hello";
+pub const RELAY: &str = "/peer/relay";
 
-pub fn encode(hello: &Hello) -> Vec<u8> {
-    borsh::to_vec(hello).unwrap_or_default()
+pub fn encode<T: BorshSerialize>(message: &T) -> Vec<u8> {
+    borsh::to_vec(message).unwrap_or_else(|e| {
+        log::error!("encoding for a peer failed: {e}");
+        Vec::new()
+    })
 }
 
-pub fn decode(body: &[u8]) -> Option<Hello> {
+pub fn decode<T: BorshDeserialize>(body: &[u8]) -> Option<T> {
     borsh::from_slice(body).ok()
 }
