Within a priority, earlier deadlines go first

Cause: rush-tints and colourmix-arrays waited in arrival order behind jobs with longer deadlines of the same priority. Conclusion: kept, as an exception to arrival order; ties still go by arrival.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -64,13 +64,15 @@
 
 /// Jobs in the order in which they are served: those within their team's guarantee don't wait for
 /// work that others run on borrowed machines; then priority; then those that can still be in time;
-/// then arrival.
+/// then the earlier deadline; then arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
     pub borrowing: bool,
     pub priority: Priority,
     /// It can't meet its deadline any more, so it lets those go first that can.
     pub late: bool,
+    /// When it is due, in milliseconds of the day; those without a deadline come last.
+    pub due: u64,
     pub arrival: Stamp,
     pub id: JobId,
 }
@@ -103,6 +105,7 @@
                     borrowing: !within,
                     priority: spec.priority,
                     late: job.is_late(self.expected_run(job), self.day_ms),
+                    due: job.due_ms().map_or(u64::MAX, |due| due as u64),
                     arrival: job.live,
                     id: job.id,
                 });
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -76,6 +76,8 @@
     /// Workers that reported here lately, and when.
     workers: BTreeMap<HostName, Time>,
     seat_at: Time,
+    /// What was last said in the log about the state service.
+    state_ok: bool,
     /// Since when a peer in the home zone has been fit to lead while this node does.
     better_since: Option<Time>,
     summary_at: Time,
@@ -144,6 +146,7 @@
             home: None,
             workers: BTreeMap::new(),
             seat_at: Time::default(),
+            state_ok: false,
             better_since: None,
             summary_at: Time::default(),
             turns,
@@ -591,6 +594,16 @@
             self.purposes.insert(id, Purpose::Types);
         }
         self.front.expire(now);
+        let answers = self.state_answers(now);
+        if answers != self.state_ok {
+            self.state_ok = answers;
+            let how = if answers {
+                "answers"
+            } else {
+                "does not answer"
+            };
+            log::info!("the state service {how}");
+        }
         if now >= self.seat_at {
             self.seat_at = now.after(SEAT_EVERY);
             self.consider_seat(now);
