--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -414,9 +414,11 @@
         spec.deadline_s.map(|d| self.at_ms as f64 + d.0 * 1000.0)
     }
 
-    /// Even a task started now would end after the deadline.
-    pub fn is_late(&self, run_s: f64, day_ms: u64) -> bool {
-        let end = day_ms as f64 + run_s * 1000.0;
+    /// Even with all of these CPUs to itself from now on it would miss its deadline.
+    pub fn is_late(&self, run_s: f64, cpus: f64, day_ms: u64) -> bool {
+        let work = f64::from(self.waiting()) * self.need.cpus * run_s;
+        let last_start = if cpus > 0.0 { work / cpus } else { 0.0 };
+        let end = day_ms as f64 + (last_start + run_s) * 1000.0;
         self.due_ms().is_some_and(|due| end > due)
     }
 
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -80,6 +80,7 @@
 impl Controller {
     /// All jobs with waiting tasks, in the order in which they are served.
     pub(super) fn ranked(&self) -> Vec<Rank> {
+        let cpus = self.cpus_to_be();
         let mut by_arrival: Vec<&Job> = self
             .jobs
             .values()
@@ -104,7 +105,7 @@
                 ranks.push(Rank {
                     borrowing: !within,
                     priority: spec.priority,
-                    late: job.is_late(self.expected_run(job), self.day_ms),
+                    late: job.is_late(self.expected_run(job), cpus, self.day_ms),
                     due: job.due_ms().map_or(u64::MAX, |due| due as u64),
                     arrival: job.live,
                     id: job.id,
@@ -115,6 +116,16 @@
         ranks
     }
 
+    /// CPUs of all machines that are here or coming.
+    fn cpus_to_be(&self) -> f64 {
+        let here = self
+            .hosts
+            .values()
+            .filter(|h| matches!(h.life, Life::Up | Life::Expected));
+        let kinds = here.filter_map(|h| h.kind.and_then(|k| self.types.get(k)));
+        kinds.map(|t| t.cpus.0).sum()
+    }
+
     /// How many more tasks of this size the team may have booked.
     pub(super) fn team_room(&self, job: &Job) -> u64 {
         let Some(team) = self.rules.team(&job.team) else {
