--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -414,6 +414,7 @@
             if now < job.not_before || job.suspect() {
                 continue;
             }
+            let usable = self.usable_kinds(spec, scarce);
             let run = self.expected_run(job);
             let due = job.due_ms().map(|due| (due - self.day_ms as f64) / 1000.0);
             let waiting = u64::from(job.waiting()).min(self.team_room(job));
@@ -422,7 +423,7 @@
                 if looked_at > MAX_FORECAST {
                     break;
                 }
-                let soonest = self.soonest(&lanes, spec, scarce);
+                let soonest = Self::soonest(&lanes, spec, &usable);
                 let start = soonest.map_or(f64::INFINITY, |(start, _)| start);
                 if let Some(market) = self.worth_renting(spec, start, run, due, left, scarce, now) {
                     let open = wanted.entry(market.clone()).or_default();
@@ -548,14 +549,8 @@
     }
 
     /// Which of the machines would take a task of the job soonest, and when.
-    fn soonest(&self, lanes: &[Lane], spec: &JobSpec, scarce: &[bool]) -> Option<(f64, usize)> {
+    fn soonest(lanes: &[Lane], spec: &JobSpec, usable: &[bool]) -> Option<(f64, usize)> {
         let need = placement::need(spec);
-        let usable: Vec<bool> = (0..self.types.len())
-            .map(|kind| {
-                placement::type_suits(spec, &self.types[kind])
-                    && !self.kept_for_others(spec, Some(kind), scarce)
-            })
-            .collect();
         let mut best: Option<(f64, usize)> = None;
         for (at, lane) in lanes.iter().enumerate() {
             let suits = usable[lane.kind]
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -173,6 +173,7 @@
         if plain && full.contains(&shape) {
             return;
         }
+        let usable = self.usable_kinds(spec, scarce);
         let mut room = self.team_room(job);
         let mut siblings = self.siblings(job, spec);
         while room > 0 {
@@ -180,7 +181,7 @@
                 return;
             };
             let task = TaskId { job: job.id, index };
-            let Some(name) = self.best_host(job, spec, task, scarce, &siblings, now) else {
+            let Some(name) = self.best_host(job, spec, task, &usable, &siblings, now) else {
                 if plain {
                     full.push(shape);
                 }
@@ -237,26 +238,23 @@
         job: &Job,
         spec: &JobSpec,
         task: TaskId,
-        scarce: &[bool],
+        usable: &[bool],
         siblings: &BTreeMap<String, u64>,
         now: Time,
     ) -> Option<HostName> {
         let mut best: Option<(bool, f64, &HostName)> = None;
         for host in self.hosts.values() {
-            let Some(kind) = host.kind.and_then(|k| self.types.get(k)) else {
+            let kind = host.kind.filter(|k| usable.get(*k) == Some(&true));
+            let Some(kind) = kind.and_then(|k| self.types.get(k)) else {
                 continue;
             };
             let whole = capacity(kind);
-            let eligible = self.is_open(host, now)
+            let failed_at = host.failed_jobs.get(&job.id);
+            let eligible = job.need.fits(&whole.minus(&host.used))
+                && self.is_open(host, now)
                 && (spec.spot || !host.spot)
-                && type_suits(spec, kind)
-                && job.need.fits(&whole.minus(&host.used))
                 && Self::zone_allowed(spec, &host.zone, siblings)
-                && !self.kept_for_others(spec, host.kind, scarce)
-                && host
-                    .failed_jobs
-                    .get(&job.id)
-                    .is_none_or(|at| now.since(*at) >= AVOID)
+                && failed_at.is_none_or(|at| now.since(*at) >= AVOID)
                 && !host.leftovers.keys().any(|(t, _)| *t == task)
                 && !host.unanswered.keys().any(|(t, _)| *t == task);
             if !eligible {
@@ -305,6 +303,14 @@
             .collect()
     }
 
+    /// For each machine type, whether the job's tasks may go there.
+    pub(super) fn usable_kinds(&self, spec: &JobSpec, scarce: &[bool]) -> Vec<bool> {
+        let suits = |kind: usize| {
+            type_suits(spec, &self.types[kind]) && !self.kept_for_others(spec, Some(kind), scarce)
+        };
+        (0..self.types.len()).map(suits).collect()
+    }
+
     /// The exception to eligibility: work that fits another type stays off a type that other work
     /// can't do without, as headroom would otherwise fill the large machines with small tasks.
     pub(super) fn kept_for_others(
