Answer workers for a leader that can't be heard, so that cuts don't end their work

Excluded: moving the leader, which only moves the loss to the smaller zone. Also: test nodes listen on loopback hosts of their own, as a port that a killed node left could be given to another test's stand-in.

--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -64,6 +64,8 @@
 const READ_EVERY: Duration = Duration::from_millis(400);
 /// A node that gave up the office lets the others go first.
 const REST: Duration = Duration::from_secs(3);
+/// What the state service said of the leader counts for this long.
+const FRESH: Duration = Duration::from_millis(1500);
 const READ_LIMIT: Duration = Duration::from_millis(1500);
 
 pub struct Leadership {
@@ -82,6 +84,8 @@
     /// How long the key must have been free before this node claims it.
     pub handicap: Duration,
     free_since: Option<Time>,
+    /// When the state service last said that another node leads.
+    confirmed_at: Option<Time>,
     resigned_at: Option<Time>,
     random: fastrand::Rng,
 }
@@ -103,6 +107,7 @@
             reading: None,
             handicap: Duration::ZERO,
             free_since: None,
+            confirmed_at: None,
             resigned_at: None,
             random,
         }
@@ -170,6 +175,7 @@
         if term > self.term {
             self.term = term;
             self.leader = None;
+            self.confirmed_at = None;
         }
         if let Some(leader) = leader.filter(|l| *l != self.node) {
             self.leader = Some(leader.to_owned());
@@ -213,6 +219,7 @@
         }
         let (term, term_stamp) = seen.term.unwrap_or((Term(0), Stamp(0)));
         let Some((holder, stamp)) = seen.holder else {
+            self.confirmed_at = None;
             if term >= self.term {
                 self.term = term;
                 self.leader = None;
@@ -237,7 +244,21 @@
             // This node's earlier process: it is dead, or this one would not run.
             return Some(Wish::End(holder.lease));
         }
-        self.heard_of(holder.term, Some(&holder.node))
+        let wish = self.heard_of(holder.term, Some(&holder.node));
+        if holder.term == self.term {
+            self.confirmed_at = Some(now);
+        }
+        wish
+    }
+
+    /// The term and the leader that the state service confirmed a moment ago.
+    pub fn confirmed(&self, now: Time) -> Option<(Term, &str)> {
+        let fresh = self.confirmed_at.is_some_and(|at| now.since(at) < FRESH);
+        let leader = self
+            .leader
+            .as_deref()
+            .filter(|_| fresh && self.role == Role::Following);
+        leader.map(|leader| (self.term, leader))
     }
 
     fn lead(&mut self, lease: LeaseId, term: Term, stamp: Stamp, now: Time) -> Wish {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -121,6 +121,8 @@
     pub jobs: Jobs,
     pub ledger: Ledger,
     fleet: Fleet,
+    /// Zones of which this node hears no other node: what is silent there is cut off.
+    pub unheard_zones: Vec<String>,
     /// What each team's bookings take, all that are not proven ended.
     used: BTreeMap<String, Resources>,
     /// Machines whose release the cloud confirmed, the latest ones.
@@ -161,6 +163,7 @@
             jobs: BTreeMap::new(),
             ledger: Ledger::new(holder),
             fleet: Fleet::new(term),
+            unheard_zones: Vec::new(),
             used: BTreeMap::new(),
             released: VecDeque::new(),
             actions: Vec::new(),
@@ -891,7 +894,8 @@
             Life::Silent => {
                 // Many at once are cut off rather than broken: they come back, later.
                 let (silent, all) = by_zone.get(&host.zone).copied().unwrap_or_default();
-                let cut = silent >= 3 && silent * 2 > all;
+                let cut =
+                    silent >= 3 && silent * 2 > all || self.unheard_zones.contains(&host.zone);
                 silent_for > if cut { self.rules.lease * 3 } else { limit }
             }
             Life::Expected => {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -39,6 +39,8 @@
 }
 
 const HELLO_EVERY: Duration = Duration::from_secs(1);
+/// A peer that was not heard for longer is out of reach.
+const HEARD_FOR: Duration = Duration::from_secs(3);
 const HELLO_LIMIT: Duration = Duration::from_millis(1500);
 const TURN: Duration = Duration::from_millis(100);
 const LEAD_LIMIT: Duration = Duration::from_millis(1200);
@@ -256,10 +258,11 @@
     /// Passes a user's request on to a node that the state service answers.
     fn relay(&mut self, id: FrontId, relay: &Relay) {
         let now = self.transport.now();
-        let fit = self.peers.iter().find(|p| {
-            let heard = p.heard.as_ref();
-            heard.is_some_and(|(at, h)| h.state_ok && now.since(*at) < HELLO_EVERY * 3)
-        });
+        let state_ok = |p: &Peer| p.heard.as_ref().is_some_and(|(_, h)| h.state_ok);
+        let fit = self
+            .peers
+            .iter()
+            .find(|p| self.hears(p, now) && state_ok(p));
         let Some(peer) = fit else {
             return self.front.on_relayed(id, None);
         };
@@ -300,11 +303,29 @@
             let wish = self.leadership.heard_of(report.token, None);
             self.grant(wish);
         }
+        if let Some(token) = self.stands_in(report.token, now) {
+            return Response::new(200, encode(&Answer { token, orders: &[] }));
+        }
         let leader = self.leadership.leader.as_deref();
         let leader = leader.filter(|l| *l != self.settings.name);
         Response::new(421, encode(&Elsewhere { leader }))
     }
 
+    /// The token to answer a worker with on the leader's behalf: the state service has just said
+    /// that it leads, but it can't be heard from here, so the worker could not reach it either and
+    /// would lose its tasks with its lease. No orders are given.
+    fn stands_in(&self, seen: Term, now: Time) -> Option<Term> {
+        let (term, leader) = self.leadership.confirmed(now)?;
+        let at = self.settings.peers.iter().position(|p| p.name == leader)?;
+        let unheard = !self.hears(&self.peers[at], now);
+        (unheard && seen <= term).then_some(term)
+    }
+
+    fn hears(&self, peer: &Peer, now: Time) -> bool {
+        let heard = peer.heard.as_ref();
+        heard.is_some_and(|(at, _)| now.since(*at) < HEARD_FOR)
+    }
+
     fn deposed(&mut self, term: Term) {
         log::info!("deposed: term {term} is in office");
         let mut wish = self.leadership.heard_of(term, None);
@@ -361,10 +382,7 @@
     /// one that hears nobody at all can do nothing for users. An outage that all see takes none
     /// out of the balancer: they hear each other.
     fn is_healthy(&self, now: Time) -> bool {
-        let hears_others = self.peers.iter().any(|p| {
-            let heard = p.heard.as_ref();
-            heard.is_some_and(|(at, _)| now.since(*at) < HELLO_EVERY * 3)
-        });
+        let hears_others = self.peers.iter().any(|p| self.hears(p, now));
         self.state_answers(now) || hears_others || self.peers.is_empty()
     }
 
@@ -533,12 +551,16 @@
         } else {
             Duration::ZERO
         };
-        let Some(office) = &self.office else { return };
+        let unheard = self.unheard_zones(now);
+        let Some(office) = &mut self.office else {
+            return;
+        };
+        office.controller.unheard_zones = unheard;
         let reach = office.controller.reach(now);
         if reach.home.is_some() {
             self.home.clone_from(&reach.home);
         }
-        let fit = |h: &Hello, at: Time| h.state_ok && now.since(at) < HELLO_EVERY * 3;
+        let fit = |h: &Hello, at: Time| h.state_ok && now.since(at) < HEARD_FOR;
         let mut peers = self.settings.peers.iter().zip(&self.peers);
         let at_better = peers.any(|(named, peer)| {
             peer.heard.as_ref().is_some_and(|(at, h)| {
@@ -566,6 +588,17 @@
         }
     }
 
+    /// Zones of which no node can be heard.
+    fn unheard_zones(&self, now: Time) -> Vec<String> {
+        let named = || self.settings.peers.iter().zip(&self.peers);
+        let heard = |zone: &str| {
+            *zone == self.settings.zone
+                || named().any(|(n, p)| n.zone == zone && self.hears(p, now))
+        };
+        let zones = named().map(|(n, _)| n.zone.clone());
+        zones.filter(|z| !heard(z)).collect()
+    }
+
     // ---- time
 
     fn due(&mut self) {
--- a/tests/leadership.rs
+++ b/tests/leadership.rs
@@ -168,3 +168,20 @@
     assert_eq!(l.on_read(free(3), Time(5400)), None);
     assert_eq!(l.on_read(free(3), Time(5900)), Some(Wish::Grant(TTL)));
 }
+
+/// A node may stand in for a leader that it can't hear only while the state service has just said
+/// that it still leads; after that the token might be an old one.
+#[test]
+fn the_leader_is_confirmed_for_a_moment_only() {
+    let mut l = node("n0", 1);
+    assert_eq!(l.confirmed(Time(1000)), None);
+    l.on_read(held_by("n1", 5, 3), Time(1000));
+    assert_eq!(l.confirmed(Time(2000)), Some((Term(3), "n1")));
+    assert_eq!(l.confirmed(Time(2600)), None);
+    l.on_read(held_by("n1", 5, 3), Time(3000));
+    l.heard_of(Term(4), None);
+    assert_eq!(l.confirmed(Time(3100)), None);
+    l.on_read(held_by("n1", 5, 4), Time(3200));
+    l.on_read(free(4), Time(3300));
+    assert_eq!(l.confirmed(Time(3400)), None);
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -7,7 +7,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -565,8 +565,13 @@
     pub state_away: Arc<AtomicBool>,
 }
 
-fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+/// An address for a node. Each has a loopback host of its own: on 127.0.0.1 a port that is free
+/// now may be given to a stand-in of another test before the node listens on it.
+fn free_address() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let (pid, next) = (std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+    let host = [127, 1 + (pid % 250) as u8, (pid / 250 % 250) as u8, next];
+    let listener = TcpListener::bind((std::net::Ipv4Addr::from(host), 0)).expect("a free port");
     listener.local_addr().expect("its address")
 }
 
@@ -576,7 +581,7 @@
         let state_away = Arc::new(AtomicBool::new(false));
         let state = state_service(state_away.clone());
         let addresses: Vec<(SocketAddr, SocketAddr)> =
-            (0..3).map(|_| (free_port(), free_port())).collect();
+            (0..3).map(|_| (free_address(), free_address())).collect();
         let fronts = addresses.iter().map(|(front, _)| *front).collect();
         let cloud = cloud(fronts, starts.clone());
         let mut nodes = Vec::new();
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -414,6 +414,10 @@
                 };
                 self.controller.on_listed(&[item], now);
             }
+            "unheard" => {
+                let zones = words[1..].iter().map(|z| (*z).to_owned());
+                self.controller.unheard_zones = zones.collect();
+            }
             "show" => match self.controller.jobs.get(&id(words[1])) {
                 Some(j) => {
                     let line = format!(
