--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -162,10 +162,6 @@
         None
     }
 
-    pub fn has_waiting(&self) -> bool {
-        self.queues.values().any(|q| !q.is_empty())
-    }
-
     fn render(&mut self, waiting: Waiting) -> Outgoing {
         let mut limit = waiting.limit;
         let (kind, method, target, body) = match &waiting.ask {
--- a/src/coordination/hosts.rs
+++ b/src/coordination/hosts.rs
@@ -1,6 +1,6 @@
 //! A machine's life, and what is booked on it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use super::jobs::Resources;
@@ -45,7 +45,6 @@
 pub enum StopWhy {
     Withdrawn,
     Drained,
-    Preempted,
 }
 
 #[derive(Clone, Debug)]
@@ -101,7 +100,6 @@
     pub idle_since: Option<Time>,
     pub failed_jobs: BTreeMap<JobId, Time>,
     pub failures: u32,
-    pub images: BTreeSet<String>,
     /// A direct command is on its way; the next one waits for its answer.
     pub commanding: bool,
     /// A direct command got no answer: nothing more goes there until the next report.
@@ -135,7 +133,6 @@
             idle_since: Some(now),
             failed_jobs: BTreeMap::new(),
             failures: 0,
-            images: BTreeSet::new(),
             commanding: false,
             doubted: false,
             running_since: None,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -68,7 +68,6 @@
     pub report: Duration,
     pub lease: Duration,
     pub cancel: Duration,
-    pub list_lag: Duration,
     pub chunk_size: u32,
     pub teams: Vec<Team>,
     pub tuning: Tuning,
@@ -80,7 +79,6 @@
             report: service.workers.report(),
             lease: service.workers.lease(),
             cancel: service.workers.cancel(),
-            list_lag: seconds(service.cloud.list_lag_s),
             chunk_size: crate::bookkeeping::records::chunk_size(service.state.value_kb),
             teams: service.teams.clone(),
             tuning: tuning.clone(),
@@ -428,15 +426,7 @@
             .filter(|b| b.attempt == attempt);
         match (ours, state) {
             (Some(_), Reported::Ended) => self.ended(host, reported, now),
-            (Some(booking), _) => {
-                let was_fetching = booking.fetching || booking.phase != BookingPhase::Present;
-                booking.seen(reported, now);
-                if was_fetching && !booking.fetching {
-                    if let Some(spec) = self.jobs.get(&task.job).and_then(|j| j.spec.as_ref()) {
-                        host.images.insert(spec.image.clone());
-                    }
-                }
-            }
+            (Some(booking), _) => booking.seen(reported, now),
             (None, Reported::Ended) => {
                 // Its outcome is in the records already, or never mattered.
                 host.leftovers
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -147,12 +147,6 @@
     Cancelled,
 }
 
-impl JobState {
-    pub fn is_final(self) -> bool {
-        matches!(self, JobState::Done | JobState::Cancelled)
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct JobStatus {
     #[serde(rename = "ref")]
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -104,7 +104,6 @@
 #[derive(Clone, Debug, Deserialize)]
 pub struct Cloud {
     pub rps: f64,
-    pub list_lag_s: f64,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -152,9 +151,6 @@
                 return Err(format!("{field}: must be above 0, is {value}"));
             }
         }
-        if !(s.cloud.list_lag_s.is_finite() && s.cloud.list_lag_s >= 0.0) {
-            return Err("settings.cloud.list_lag_s: must not be negative".into());
-        }
         if s.workers.lease_s <= s.workers.report_s {
             return Err("settings.workers.lease_s: must be above report_s".into());
         }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -52,7 +52,6 @@
         report: Duration::from_secs(3),
         lease: Duration::from_secs(16),
         cancel: Duration::from_secs(40),
-        list_lag: Duration::from_secs(5),
         chunk_size: 4,
         teams: vec![team("open", 0.0, 0.0), team("tight", 4.0, 8.0)],
         tuning: Tuning::default(),
