--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -188,11 +188,10 @@
 
     /// Gives up the office, unless that was done a short while ago.
     pub fn resign(&mut self, now: Time) -> Option<Wish> {
-        let lately = self.resigned_at.is_some_and(|at| now.since(at) < REST * 10);
         let Role::Leading { lease, .. } = self.role else {
             return None;
         };
-        if lately {
+        if self.made_room(now) {
             return None;
         }
         self.resigned_at = Some(now);
@@ -200,6 +199,11 @@
         Some(Wish::Resign(lease))
     }
 
+    /// Whether this node gave up the office a short while ago.
+    pub fn made_room(&self, now: Time) -> bool {
+        self.resigned_at.is_some_and(|at| now.since(at) < REST * 10)
+    }
+
     /// Proof came that another leads.
     pub fn step_down(&mut self) -> Wish {
         self.enter(Role::Following);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -343,6 +343,7 @@
             state_ok: self.state_answers(self.transport.now()),
             home: self.home.clone(),
             workers: self.workers.len() as u32,
+            made_room: self.leadership.made_room(self.transport.now()),
         }
     }
 
@@ -564,7 +565,8 @@
         let mut peers = self.settings.peers.iter().zip(&self.peers);
         let at_better = peers.any(|(named, peer)| {
             peer.heard.as_ref().is_some_and(|(at, h)| {
-                let hears_more = reach.is_cut_off() && h.workers as usize > reach.heard;
+                let hears_more = h.workers as usize > reach.heard && !h.made_room;
+                let hears_more = hears_more && reach.is_cut_off();
                 let at_home = several && !at_home && Some(&named.zone) == self.home.as_ref();
                 fit(h, *at) && (hears_more || at_home)
             })
@@ -576,7 +578,18 @@
         }
         let calm = self.better_since.is_some_and(|at| now.since(at) >= CALM);
         // Cut off from the home zone, its nodes can't be heard either; they will find the key free.
-        let cut_off = reach.is_cut_off() && ((several && !at_home) || at_better);
+        // Unless one of our own zone has just tried that in vain.
+        let in_vain = self
+            .settings
+            .peers
+            .iter()
+            .zip(&self.peers)
+            .any(|(named, peer)| {
+                let made_room = peer.heard.as_ref().is_some_and(|(_, h)| h.made_room);
+                named.zone == self.settings.zone && made_room
+            });
+        let away = several && !at_home && !in_vain;
+        let cut_off = reach.is_cut_off() && (away || at_better);
         if (calm || cut_off) && self.leadership.is_certain(now) {
             self.better_since = None;
             let wish = self.leadership.resign(now);
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -15,6 +15,8 @@
     pub home: Option<String>,
     /// How many workers reported to the sender lately, whether or not it leads.
     pub workers: u32,
+    /// The sender led and made room a short while ago.
+    pub made_room: bool,
 }
 
 /// A user's request, passed on by a node that the state service does not answer.
