--- a/src/coordination/hosts.rs
+++ b/src/coordination/hosts.rs
@@ -45,6 +45,7 @@
 pub enum StopWhy {
     Withdrawn,
     Drained,
+    Preempted,
 }
 
 #[derive(Clone, Debug)]
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -5,13 +5,15 @@
 
 use std::collections::BTreeMap;
 
-use super::hosts::{Booking, BookingPhase, Host, Life};
+use super::hosts::{Booking, BookingPhase, Host, Life, StopWhy};
 use super::jobs::{Job, JobPhase, Resources, TaskState};
 use super::{Controller, AVOID};
 use crate::protocol::cloud::MachineType;
 use crate::protocol::users::{JobSpec, Priority};
 use crate::types::{Attempt, HostName, JobId, Stamp, TaskId, Tick, Time};
 
+/// A task is preempted only if it loses no more than this.
+const PREEMPT_LOSS_S: f64 = 4.0;
 const MEMORY_WEIGHT: f64 = 25.0;
 const CPU_WEIGHT: f64 = 25.0;
 const GPU_WEIGHT: f64 = 20.0;
@@ -185,6 +187,7 @@
                 if plain {
                     full.push(shape);
                 }
+                self.preempt(job, spec, &usable, now);
                 return;
             };
             self.book(job, task, &name, now);
@@ -278,6 +281,73 @@
         best.map(|(_, _, name)| name.clone())
     }
 
+    /// Makes room for a job of higher priority by stopping tasks of lower priority that lose next to
+    /// nothing by it. One machine at a time: the next pass sees what came of it.
+    fn preempt(&mut self, job: &Job, spec: &JobSpec, usable: &[bool], now: Time) {
+        let under_way = |h: &Host| {
+            let mut bookings = h.bookings.values();
+            bookings.any(|b| b.stop == Some(StopWhy::Preempted))
+        };
+        if spec.one_zone || spec.spread || self.hosts.values().any(under_way) {
+            return;
+        }
+        let mut best: Option<(f64, HostName, Vec<TaskId>)> = None;
+        for host in self.hosts.values() {
+            let kind = host.kind.filter(|k| usable.get(*k) == Some(&true));
+            let Some(kind) = kind.and_then(|k| self.types.get(k)) else {
+                continue;
+            };
+            let open = self.is_open(host, now) && (spec.spot || !host.spot);
+            if !open || !Self::zone_allowed(spec, &host.zone, &BTreeMap::new()) {
+                continue;
+            }
+            let mut victims: Vec<(f64, TaskId, Resources)> = host
+                .bookings
+                .iter()
+                .filter_map(|(task, b)| {
+                    let lost = self.loss(*task, b, spec.priority, now)?;
+                    Some((lost, *task, b.need))
+                })
+                .collect();
+            victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let mut free = capacity(kind).minus(&host.used);
+            let mut lost = 0.0;
+            let mut stopped = Vec::new();
+            for (loss, task, need) in victims {
+                if job.need.fits(&free) {
+                    break;
+                }
+                free.add(&need);
+                lost += loss;
+                stopped.push(task);
+            }
+            let fits = job.need.fits(&free) && !stopped.is_empty();
+            if fits && best.as_ref().is_none_or(|(least, _, _)| lost < *least) {
+                best = Some((lost, host.name.clone(), stopped));
+            }
+        }
+        if let Some((lost, name, tasks)) = best {
+            log::debug!(
+                "{}: {} tasks on {name} make room, {lost} s lost",
+                job.id,
+                tasks.len()
+            );
+            for task in tasks {
+                self.stop(&name, task, StopWhy::Preempted, now);
+            }
+        }
+    }
+
+    /// The run time that a task would lose; `None` if it may not, or had better not, be stopped.
+    fn loss(&self, task: TaskId, booking: &Booking, by: Priority, now: Time) -> Option<f64> {
+        let spec = self.jobs.get(&task.job)?.spec.as_ref()?;
+        let ran = booking.started.map_or(0.0, |s| now.since(s).as_secs_f64());
+        let step = spec.checkpoint_s.0;
+        let lost = if step > 0.0 { ran.min(step) } else { ran };
+        let may = spec.priority > by && booking.stop.is_none();
+        (may && lost <= PREEMPT_LOSS_S).then_some(lost)
+    }
+
     /// Types that some waiting or running work needs because no other type fits it.
     pub(super) fn scarce_types(&self) -> Vec<bool> {
         let mut scarce = vec![false; self.types.len()];
