--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,7 +1,7 @@
 //! The machines themselves: renting what waiting work needs, returning what idles.
 
-use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::time::Duration;
 
 use super::hosts::{Cordon, Host, Life};
@@ -86,8 +86,13 @@
 /// How long work that may use spot machines waits for one before an ordinary one is rented.
 const ORDINARY_AFTER_S: f64 = 180.0;
 /// Tasks that one forecast looks at.
-const MAX_FORECAST: u32 = 400;
+const MAX_FORECAST: u32 = 8000;
+/// Machines that one forecast may ask of a market; they go out in requests of [`MAX_RENTAL`].
+const MAX_WANTED: u64 = 400;
 const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// Each machine known makes the looks this much rarer, so that they take the same share of the
+/// processor at any size.
+const LOOK_PER_HOST: Duration = Duration::from_micros(500);
 const CLOSED_FOR: Duration = Duration::from_secs(15);
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -177,7 +182,8 @@
         if now < self.fleet.look_at {
             return;
         }
-        self.fleet.look_at = now.after(LOOK_EVERY);
+        let pause = LOOK_EVERY + LOOK_PER_HOST * self.hosts.len() as u32;
+        self.fleet.look_at = now.after(pause);
         let scarce = self.scarce_types();
         let kinds = scarce.iter().enumerate();
         self.fleet
@@ -415,10 +421,14 @@
     /// when each waiting task would start on those; only where that is too late, and a new machine
     /// would be sooner, one is rented.
     fn rent(&mut self, scarce: &[bool], now: Time) {
+        let ranks = self.ranked();
+        if ranks.is_empty() {
+            return;
+        }
         let mut lanes = self.lanes(now);
         let mut wanted: BTreeMap<Market, u64> = BTreeMap::new();
         let mut looked_at = 0;
-        for rank in self.ranked() {
+        for rank in ranks {
             let Some(job) = self.jobs.get(&rank.id) else {
                 continue;
             };
@@ -430,36 +440,57 @@
             let run = self.expected_run(job);
             let due = job.due_ms().map(|due| (due - self.day_ms as f64) / 1000.0);
             let waiting = u64::from(job.waiting()).min(self.team_room(job));
+            let mut queue = Self::starts(&lanes, spec, &usable);
+            let least_ready = self.least_ready(spec, &usable);
             for left in (1..=waiting).rev() {
                 looked_at += 1;
                 if looked_at > MAX_FORECAST {
                     break;
                 }
-                let soonest = Self::soonest(&lanes, spec, &usable);
-                let start = soonest.map_or(f64::INFINITY, |(start, _)| start);
+                let soonest = queue
+                    .peek()
+                    .map(|Reverse((start, _))| f64::from_bits(*start));
+                let start = soonest.unwrap_or(f64::INFINITY);
                 let outlook = Outlook {
                     start,
                     run,
                     due,
                     left,
                 };
-                if let Some(market) = self.worth_renting(spec, &outlook, &usable, now) {
+                let hopeful = start > least_ready;
+                let market = hopeful.then(|| self.worth_renting(spec, &outlook, &usable, now));
+                if let Some(market) = market.flatten() {
                     let open = wanted.entry(market.clone()).or_default();
-                    if *open < MAX_RENTAL {
+                    if *open < MAX_WANTED {
                         *open += 1;
                         let mut lane = self.new_lane(market);
                         lane.take(lane.at, run, &job.need);
+                        if let Some(next) = lane.start_of(&job.need) {
+                            queue.push(Reverse((next.to_bits(), lanes.len())));
+                        }
                         lanes.push(lane);
                         continue;
                     }
                 }
-                match soonest {
-                    Some((start, at)) => lanes[at].take(start, run, &job.need),
-                    None => break,
+                let Some(Reverse((start, at))) = queue.pop() else {
+                    break;
+                };
+                lanes[at].take(f64::from_bits(start), run, &job.need);
+                if let Some(next) = lanes[at].start_of(&job.need) {
+                    queue.push(Reverse((next.to_bits(), at)));
                 }
             }
         }
         for (market, count) in wanted {
+            self.order(market, count, now);
+        }
+    }
+
+    /// Asks the cloud for machines, in requests of what one may hold.
+    fn order(&mut self, market: Market, mut count: u64, now: Time) {
+        while count > 0 {
+            let part = count.min(MAX_RENTAL);
+            count -= part;
             self.fleet.counter += 1;
             let request = format!("r-{}-{}", self.fleet.term, self.fleet.counter);
             let rental = Rental {
@@ -467,11 +498,11 @@
                 kind: self.types[market.0].name.clone(),
                 zone: market.1.clone(),
                 spot: market.2,
-                count,
+                count: part,
             };
             let open = OpenRental {
                 rental: rental.clone(),
-                market,
+                market: market.clone(),
                 at: now,
                 retry_at: None,
             };
@@ -564,24 +595,31 @@
         }
     }
 
-    /// Which of the machines would take a task of the job soonest, and when.
-    fn soonest(lanes: &[Lane], spec: &JobSpec, usable: &[bool]) -> Option<(f64, usize)> {
+    /// When each of the machines would take a task of the job, the soonest on top. Times are never
+    /// negative, so their bits are in the order of their values.
+    fn starts(
+        lanes: &[Lane],
+        spec: &JobSpec,
+        usable: &[bool],
+    ) -> BinaryHeap<Reverse<(u64, usize)>> {
         let need = placement::need(spec);
-        let mut best: Option<(f64, usize)> = None;
-        for (at, lane) in lanes.iter().enumerate() {
-            let suits = usable[lane.kind]
+        let suits = |lane: &Lane| {
+            usable[lane.kind]
                 && (spec.spot || !lane.spot)
-                && spec.zone.as_ref().is_none_or(|z| *z == lane.zone);
-            if !suits {
-                continue;
-            }
-            if let Some(start) = lane.start_of(&need) {
-                if best.is_none_or(|(b, _)| start < b) {
-                    best = Some((start, at));
-                }
-            }
-        }
-        best
+                && spec.zone.as_ref().is_none_or(|z| *z == lane.zone)
+        };
+        let suited = lanes.iter().enumerate().filter(|(_, lane)| suits(lane));
+        suited
+            .filter_map(|(at, lane)| Some(Reverse((lane.start_of(&need)?.to_bits(), at))))
+            .collect()
+    }
+
+    /// How soon a task of the job could start on any machine rented now.
+    fn least_ready(&self, spec: &JobSpec, usable: &[bool]) -> f64 {
+        let kinds = (0..self.types.len()).filter(|k| usable[*k]);
+        kinds
+            .map(|kind| self.ready_after(spec, kind))
+            .fold(f64::INFINITY, f64::min)
     }
 
     /// The market with the lowest cost per task, counting boot and fetch.
