Place over an index of open machines; pace decisions; waiting jobs age

Cause: each task walked over all machines, each report, request and wake-up over all of them again, and each written batch too. One pass now lists the open machines once and keeps those that may take a job's task in a heap: the same machine is chosen. Passes end after 400 bookings, decisions rest three times as long as they took, silent machines are looked for four times a second, bookings wait by their record. Released names are kept for ten minutes instead of the latest 2000. A job of which nothing began for starve_after_s goes first, and where nothing gets free for it a machine is held; late jobs stop giving way after the same time.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -243,7 +243,7 @@
                     self.fleet.closed.insert(open.market, now.after(CLOSED_FOR));
                 }
                 for name in names {
-                    if self.released.contains(&name) {
+                    if self.released.contains_key(&name) {
                         continue;
                     }
                     let host = self
@@ -280,7 +280,7 @@
     /// The cloud's list, whole. It lags: what it lacks proves nothing.
     pub fn on_listed(&mut self, listed: &[ListedHost], now: Time) {
         for item in listed {
-            if self.released.contains(&item.name) {
+            if self.released.contains_key(&item.name) {
                 continue;
             }
             let name = item.name.clone();
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -355,6 +355,20 @@
         Some(number)
     }
 
+    /// The machines that hold its tasks.
+    pub fn booked_hosts(&self) -> impl Iterator<Item = &HostName> {
+        let some = if self.booked > 0 {
+            &self.chunks[..]
+        } else {
+            &[]
+        };
+        let tasks = some.iter().flatten().flat_map(|c| &c.tasks);
+        tasks.filter_map(|t| match t {
+            TaskState::Booked { host, .. } => Some(host),
+            TaskState::Waiting { .. } | TaskState::Done => None,
+        })
+    }
+
     pub fn last_attempt(&self, index: u32) -> Attempt {
         match self.task(index) {
             Some(TaskState::Waiting { last }) => *last,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,7 +7,7 @@
 pub mod leadership;
 pub mod placement;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -123,12 +123,17 @@
     pub unheard_zones: Vec<String>,
     /// What each team's bookings take, all that are not proven ended.
     used: BTreeMap<String, Resources>,
-    /// Machines whose release the cloud confirmed, the latest ones.
-    released: VecDeque<HostName>,
+    /// Machines whose release the cloud confirmed lately, and when: late reports and the lagging
+    /// list may still speak of them.
+    released: BTreeMap<HostName, Time>,
+    /// Bookings that wait for their record, by the record.
+    recording: BTreeMap<(JobId, u32), Vec<(HostName, TaskId)>>,
     actions: Vec<Action>,
     /// Something changed that may let a task start.
     place_wanted: bool,
     place_at: Time,
+    preempt_at: Time,
+    watch_at: Time,
     started_at: Time,
     /// The time of day, in milliseconds, by which deadlines are judged.
     day_ms: u64,
@@ -136,8 +141,10 @@
     runs: BTreeMap<String, (f64, f64)>,
 }
 
-/// Names of released machines are kept as long as a list may still show them.
-const KEPT_RELEASED: usize = 2000;
+/// Names of released machines are kept as long as a list or a late report may still show them.
+const KEPT_RELEASED: Duration = Duration::from_secs(600);
+/// How often the machines are looked through for silent ones.
+const WATCH_EVERY: Duration = Duration::from_millis(250);
 /// The longest time between two passes over the waiting tasks.
 const PLACE_EVERY: Duration = Duration::from_secs(1);
 const LEARN_KEEP: f64 = 0.98;
@@ -163,10 +170,13 @@
             fleet: Fleet::new(term),
             unheard_zones: Vec::new(),
             used: BTreeMap::new(),
-            released: VecDeque::new(),
+            released: BTreeMap::new(),
+            recording: BTreeMap::new(),
             actions: Vec::new(),
             place_wanted: false,
             place_at: now,
+            preempt_at: now,
+            watch_at: now,
             started_at: now,
             day_ms: 0,
             runs: BTreeMap::new(),
@@ -220,6 +230,8 @@
         for (host, task) in booked {
             self.stop(&host, task, StopWhy::Withdrawn, now);
         }
+        // What was not written yet was ended just now, and no record of it will come.
+        self.recording.retain(|(job, _), _| *job != id);
         self.settle(id, now);
         self.place_wanted = true;
     }
@@ -333,7 +345,7 @@
         if report.token > self.term {
             return Err(Deposed(report.token));
         }
-        if self.phase == Phase::Loading || self.released.contains(&report.host) {
+        if self.phase == Phase::Loading || self.released.contains_key(&report.host) {
             // The token alone keeps the worker's lease alive while the records are read.
             return Ok(Vec::new());
         }
@@ -766,33 +778,36 @@
         if written.chunks.is_empty() {
             return;
         }
-        let chunks: BTreeSet<(JobId, u32)> = written.chunks.iter().copied().collect();
-        let names: Vec<HostName> = self.hosts.keys().cloned().collect();
-        for name in names {
-            let Some(mut host) = self.hosts.remove(&name) else {
+        let mut ready: BTreeSet<HostName> = BTreeSet::new();
+        for key in &written.chunks {
+            let Some(waiting) = self.recording.remove(key) else {
                 continue;
             };
-            let mut ready = false;
-            for (task, booking) in &mut host.bookings {
-                if booking.phase != BookingPhase::Recording {
-                    continue;
-                }
-                let Some(job) = self.jobs.get(&task.job) else {
+            let done = self.jobs.get(&key.0).and_then(|j| j.chunk(key.1));
+            let done = done.map_or(0, |c| c.written);
+            let mut later = Vec::new();
+            for (name, task) in waiting {
+                let booking = self.hosts.get_mut(&name);
+                let booking = booking.and_then(|h| h.bookings.get_mut(&task));
+                let Some(booking) = booking.filter(|b| b.phase == BookingPhase::Recording) else {
                     continue;
                 };
-                let number = job.chunk_of(task.index);
-                let written = job
-                    .chunk(number)
-                    .is_some_and(|c| c.written >= booking.change);
-                if written && chunks.contains(&(task.job, number)) {
+                if done >= booking.change {
                     booking.phase = BookingPhase::Ordered;
-                    ready = true;
+                    ready.insert(name);
+                } else {
+                    later.push((name, task));
                 }
             }
-            if ready {
+            if !later.is_empty() {
+                self.recording.insert(*key, later);
+            }
+        }
+        for name in ready {
+            if let Some(mut host) = self.hosts.remove(&name) {
                 self.command(&mut host, now);
+                self.hosts.insert(name, host);
             }
-            self.hosts.insert(name, host);
         }
     }
 
@@ -816,7 +831,10 @@
             }
             Phase::Placing => {}
         }
-        self.watch_hosts(now, may_act);
+        if now >= self.watch_at {
+            self.watch_at = now.after(WATCH_EVERY);
+            self.watch_hosts(now, may_act);
+        }
         if may_act {
             // Jobs that were told to wait after a failure come back without any event.
             if std::mem::take(&mut self.place_wanted) || now >= self.place_at {
@@ -921,11 +939,10 @@
                     self.end_booking(&mut host, task, false, now);
                 }
             }
-            self.released.push_back(name.clone());
-        }
-        while self.released.len() > KEPT_RELEASED {
-            self.released.pop_front();
+            self.released.insert(name.clone(), now);
         }
+        self.released
+            .retain(|_, at| now.since(*at) <= KEPT_RELEASED);
         self.place_wanted = true;
     }
 
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -3,17 +3,23 @@
 //! The design: among the eligible machines, the one with the highest weighted headroom; machines
 //! without a sibling task first; ties by name.
 
-use std::collections::BTreeMap;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::time::Duration;
 
 use super::hosts::{Booking, BookingPhase, Host, Life, StopWhy};
 use super::jobs::{Job, JobPhase, Resources, TaskState};
 use super::{Controller, AVOID};
 use crate::protocol::cloud::MachineType;
 use crate::protocol::users::{JobSpec, Priority};
-use crate::types::{Attempt, HostName, JobId, Stamp, TaskId, Tick, Time};
+use crate::types::{seconds, Attempt, HostName, JobId, Stamp, TaskId, Tick, Time};
 
 /// A task is preempted only if it loses no more than this.
 const PREEMPT_LOSS_S: f64 = 4.0;
+/// How often room is looked for by preemption.
+const PREEMPT_EVERY: Duration = Duration::from_millis(250);
+/// Tasks booked in one pass; the rest waits for the next, so that a pass never takes long.
+const MAX_BOOKINGS: u64 = 400;
 const MEMORY_WEIGHT: f64 = 25.0;
 const CPU_WEIGHT: f64 = 25.0;
 const GPU_WEIGHT: f64 = 20.0;
@@ -64,14 +70,77 @@
     }
 }
 
-/// Jobs in the order in which they are served: those within their team's guarantee don't wait for
-/// work that others run on borrowed machines; then priority; then those that can still be in time;
-/// then the earlier deadline; then arrival.
+/// A machine with room, as one pass over the waiting tasks sees it.
+struct Open {
+    name: HostName,
+    kind: usize,
+    zone: String,
+    spot: bool,
+    whole: Resources,
+    used: Resources,
+    /// Failures, leftovers or unanswered orders may speak against some tasks.
+    wary: bool,
+    /// Kept free for a job that has waited too long.
+    held: bool,
+}
+
+impl Open {
+    fn free(&self) -> Resources {
+        self.whole.minus(&self.used)
+    }
+
+    fn ranked(&self, at: usize, alone: bool, needs_gpu: bool) -> Ranked {
+        let score = score(&self.whole, &self.used, needs_gpu);
+        Ranked { alone, score, at }
+    }
+}
+
+/// What one pass over the waiting tasks keeps.
+struct Pass {
+    open: Vec<Open>,
+    /// What found no machine, and whether it may use spot machines.
+    full: Vec<(Resources, bool)>,
+    left: u64,
+    now: Time,
+}
+
+/// A machine's place among those that may take a task: without a sibling task first, then by
+/// score, then by name.
+#[derive(PartialEq)]
+struct Ranked {
+    alone: bool,
+    score: f64,
+    at: usize,
+}
+
+impl Eq for Ranked {}
+
+impl PartialOrd for Ranked {
+    fn partial_cmp(&self, other: &Ranked) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Ranked {
+    fn cmp(&self, other: &Ranked) -> Ordering {
+        let by_score = self.score.total_cmp(&other.score);
+        // Machines stand in the order of their names, so a tie goes to the first.
+        let by_name = other.at.cmp(&self.at);
+        self.alone.cmp(&other.alone).then(by_score).then(by_name)
+    }
+}
+
+/// Jobs in the order in which they are served: those that have waited too long for a first start
+/// go first, whatever they are, so that nothing starves; then those within their team's guarantee don't wait for
+/// work that others run on borrowed machines; then priority; then those that can still be in time,
+/// or have been late for long; then the earlier deadline; then arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
+    /// Nothing of it has begun for longer than any job should wait; `true` sorts last.
+    pub patient: bool,
     pub borrowing: bool,
     pub priority: Priority,
-    /// It can't meet its deadline any more, so it lets those go first that can.
+    /// It can't meet its deadline any more, so it lets those go first that can, for a while.
     pub late: bool,
     /// When it is due, in milliseconds of the day; those without a deadline come last.
     pub due: u64,
@@ -83,6 +152,7 @@
     /// All jobs with waiting tasks, in the order in which they are served.
     pub(super) fn ranked(&self) -> Vec<Rank> {
         let cpus = self.cpus_to_be();
+        let starve_after = seconds(self.rules.tuning.starve_after_s);
         let mut by_arrival: Vec<&Job> = self
             .jobs
             .values()
@@ -104,10 +174,14 @@
             let within =
                 claimed.0 <= guaranteed.0 && (claimed.1 <= guaranteed.1 || job.need.gpus == 0.0);
             if job.waiting() > 0 {
+                let waited = seconds((self.day_ms.saturating_sub(job.at_ms)) as f64 / 1000.0);
+                let aged = waited >= starve_after;
+                let begun = job.booked > 0 || job.done > 0;
                 ranks.push(Rank {
+                    patient: !aged || begun,
                     borrowing: !within,
                     priority: spec.priority,
-                    late: job.is_late(self.expected_run(job), cpus, self.day_ms),
+                    late: !aged && job.is_late(self.expected_run(job), cpus, self.day_ms),
                     due: job.due_ms().map_or(u64::MAX, |due| due as u64),
                     arrival: job.live,
                     id: job.id,
@@ -145,57 +219,193 @@
 
     /// One pass over the waiting tasks.
     pub(super) fn place(&mut self, now: Time) {
+        let ranks = self.ranked();
+        if ranks.is_empty() {
+            return;
+        }
         let scarce = self.scarce_types();
-        let mut full: Vec<(Resources, bool)> = Vec::new();
-        for rank in self.ranked() {
+        let mut pass = Pass {
+            open: self.open_machines(now),
+            full: Vec::new(),
+            left: MAX_BOOKINGS,
+            now,
+        };
+        for rank in ranks {
+            if pass.left == 0 {
+                // The rest follows once reports and users have had their turn.
+                self.place_wanted = true;
+                return;
+            }
             let Some(mut job) = self.jobs.remove(&rank.id) else {
                 continue;
             };
             if let Some(spec) = job.spec.clone() {
-                self.place_job(&mut job, &spec, &scarce, &mut full, now);
+                self.place_job(&mut job, &spec, &rank, &scarce, &mut pass);
             }
             self.jobs.insert(rank.id, job);
         }
     }
 
+    /// The machines that are open and have room, in the order of their names.
+    fn open_machines(&self, now: Time) -> Vec<Open> {
+        let mut open = Vec::new();
+        for host in self.hosts.values() {
+            let Some(kind) = host.kind else { continue };
+            let Some(t) = self.types.get(kind) else {
+                continue;
+            };
+            let whole = capacity(t);
+            let free = whole.minus(&host.used);
+            if !self.is_open(host, now) || free.cpus <= 0.0 || free.memory_gb <= 0.0 {
+                continue;
+            }
+            open.push(Open {
+                name: host.name.clone(),
+                kind,
+                zone: host.zone.clone(),
+                spot: host.spot,
+                whole,
+                used: host.used,
+                wary: !host.failed_jobs.is_empty()
+                    || !host.leftovers.is_empty()
+                    || !host.unanswered.is_empty(),
+                held: false,
+            });
+        }
+        open
+    }
+
     fn place_job(
         &mut self,
         job: &mut Job,
         spec: &JobSpec,
+        rank: &Rank,
         scarce: &[bool],
-        full: &mut Vec<(Resources, bool)>,
-        now: Time,
+        pass: &mut Pass,
     ) {
-        if now < job.not_before {
+        if pass.now < job.not_before {
             return;
         }
         let plain = spec.types.is_none() && spec.zone.is_none() && !spec.one_zone && !spec.spread;
         let shape = (job.need, spec.spot);
         // A job like one that found no machine in this pass won't find one either.
-        if plain && full.contains(&shape) {
+        if plain && pass.full.contains(&shape) {
             return;
         }
         let usable = self.usable_kinds(spec, scarce);
-        let mut room = self.team_room(job);
+        let mut room = self.team_room(job).min(pass.left);
         let mut siblings = self.siblings(job, spec);
+        let mut ranked = self.eligible(job, spec, &usable, pass);
         while room > 0 {
             let Some(index) = job.first_waiting() else {
                 return;
             };
             let task = TaskId { job: job.id, index };
-            let Some(name) = self.best_host(job, spec, task, &usable, &siblings, now) else {
-                if plain {
-                    full.push(shape);
+            let Some(best) = self.best_host(spec, task, &mut ranked, &siblings, pass) else {
+                if !rank.patient {
+                    Self::hold_room(job, spec, &usable, pass);
+                } else if plain {
+                    pass.full.push(shape);
                 }
-                self.preempt(job, spec, &usable, now);
+                self.preempt(job, spec, &usable, pass.now);
                 return;
             };
-            self.book(job, task, &name, now);
+            let open = &mut pass.open[best];
+            open.used.add(&job.need);
+            if job.need.fits(&open.free()) {
+                ranked.push(open.ranked(best, false, job.need.gpus > 0.0));
+            }
+            *siblings.entry(open.zone.clone()).or_default() += 1;
+            let name = open.name.clone();
+            self.book(job, task, &name, pass.now);
             room -= 1;
-            if let Some(host) = self.hosts.get(&name) {
-                *siblings.entry(host.zone.clone()).or_default() += 1;
+            pass.left -= 1;
+        }
+    }
+
+    /// The machines that may take a task of the job, the best on top.
+    fn eligible(
+        &self,
+        job: &Job,
+        spec: &JobSpec,
+        usable: &[bool],
+        pass: &Pass,
+    ) -> BinaryHeap<Ranked> {
+        let holding: BTreeSet<&HostName> = job.booked_hosts().collect();
+        let needs_gpu = job.need.gpus > 0.0;
+        let mut ranked = Vec::new();
+        for (at, open) in pass.open.iter().enumerate() {
+            let eligible = usable.get(open.kind) == Some(&true)
+                && !open.held
+                && job.need.fits(&open.free())
+                && (spec.spot || !open.spot)
+                && !(open.wary && self.failed_lately(&open.name, job.id, pass.now));
+            if eligible {
+                let alone = !holding.contains(&open.name);
+                ranked.push(open.ranked(at, alone, needs_gpu));
             }
         }
+        ranked.into()
+    }
+
+    fn failed_lately(&self, name: &HostName, job: JobId, now: Time) -> bool {
+        let host = self.hosts.get(name);
+        let failed_at = host.and_then(|h| h.failed_jobs.get(&job));
+        failed_at.is_some_and(|at| now.since(*at) < AVOID)
+    }
+
+    /// Takes the best machine for the task from those that may take one of its job.
+    fn best_host(
+        &self,
+        spec: &JobSpec,
+        task: TaskId,
+        ranked: &mut BinaryHeap<Ranked>,
+        siblings: &BTreeMap<String, u64>,
+        pass: &Pass,
+    ) -> Option<usize> {
+        let mut aside = Vec::new();
+        let mut best = None;
+        while let Some(next) = ranked.pop() {
+            let open = &pass.open[next.at];
+            if !Self::zone_allowed(spec, &open.zone, siblings) {
+                // Its siblings only get more during the pass, so it stays out.
+                continue;
+            }
+            if open.wary && self.knows_of(&open.name, task) {
+                aside.push(next);
+                continue;
+            }
+            best = Some(next.at);
+            break;
+        }
+        ranked.extend(aside);
+        best
+    }
+
+    /// An earlier attempt at the task is still in the machine's reports, or under way to it.
+    fn knows_of(&self, name: &HostName, task: TaskId) -> bool {
+        self.hosts.get(name).is_some_and(|host| {
+            host.leftovers.keys().any(|(t, _)| *t == task)
+                || host.unanswered.keys().any(|(t, _)| *t == task)
+        })
+    }
+
+    /// A job that has waited too long finds no room, since smaller work takes whatever gets free:
+    /// the machine where most is free takes nothing else until the job fits there.
+    fn hold_room(job: &Job, spec: &JobSpec, usable: &[bool], pass: &mut Pass) {
+        let suits = |open: &Open| {
+            usable.get(open.kind) == Some(&true)
+                && !open.held
+                && (spec.spot || !open.spot)
+                && spec.zone.as_ref().is_none_or(|z| *z == open.zone)
+                && job.need.fits(&open.whole)
+                && !job.need.fits(&open.free())
+        };
+        let free = |open: &Open| open.free().cpus;
+        let open = pass.open.iter_mut().filter(|o| suits(o));
+        if let Some(best) = open.max_by(|a, b| free(a).total_cmp(&free(b))) {
+            best.held = true;
+        }
     }
 
     /// How many of the job's tasks each zone holds now, silent machines included.
@@ -236,51 +446,6 @@
         host.life == Life::Up && host.cordon.is_none() && fresh && !host.doubted
     }
 
-    fn best_host(
-        &self,
-        job: &Job,
-        spec: &JobSpec,
-        task: TaskId,
-        usable: &[bool],
-        siblings: &BTreeMap<String, u64>,
-        now: Time,
-    ) -> Option<HostName> {
-        let mut best: Option<(bool, f64, &HostName)> = None;
-        for host in self.hosts.values() {
-            let kind = host.kind.filter(|k| usable.get(*k) == Some(&true));
-            let Some(kind) = kind.and_then(|k| self.types.get(k)) else {
-                continue;
-            };
-            let whole = capacity(kind);
-            let failed_at = host.failed_jobs.get(&job.id);
-            let eligible = job.need.fits(&whole.minus(&host.used))
-                && self.is_open(host, now)
-                && (spec.spot || !host.spot)
-                && Self::zone_allowed(spec, &host.zone, siblings)
-                && failed_at.is_none_or(|at| now.since(*at) >= AVOID)
-                && !host.leftovers.keys().any(|(t, _)| *t == task)
-                && !host.unanswered.keys().any(|(t, _)| *t == task);
-            if !eligible {
-                continue;
-            }
-            let first = TaskId {
-                job: job.id,
-                index: 0,
-            };
-            let last = TaskId {
-                job: job.id,
-                index: u32::MAX,
-            };
-            let alone = host.bookings.range(first..=last).next().is_none();
-            let score = score(&whole, &host.used, job.need.gpus > 0.0);
-            // Hosts come in the order of their names, so a tie stays with the first.
-            if best.is_none_or(|(a, s, _)| (alone, score) > (a, s)) {
-                best = Some((alone, score, &host.name));
-            }
-        }
-        best.map(|(_, _, name)| name.clone())
-    }
-
     /// Makes room for a job of higher priority by stopping tasks of lower priority that lose next to
     /// nothing by it. One machine at a time: the next pass sees what came of it.
     fn preempt(&mut self, job: &Job, spec: &JobSpec, usable: &[bool], now: Time) {
@@ -288,7 +453,12 @@
             let mut bookings = h.bookings.values();
             bookings.any(|b| b.stop == Some(StopWhy::Preempted))
         };
-        if spec.one_zone || spec.spread || self.hosts.values().any(under_way) {
+        let lowest = spec.priority == Priority::Low;
+        if spec.one_zone || spec.spread || lowest || now < self.preempt_at {
+            return;
+        }
+        self.preempt_at = now.after(PREEMPT_EVERY);
+        if self.hosts.values().any(under_way) {
             return;
         }
         let mut best: Option<(f64, HostName, Vec<TaskId>)> = None;
@@ -436,5 +606,7 @@
             .or_default()
             .add(&job.need);
         self.ledger.changed(job.id, number, true);
+        let recording = self.recording.entry((job.id, number)).or_default();
+        recording.push((name.clone(), task));
     }
 }
--- a/src/node/office.rs
+++ b/src/node/office.rs
@@ -51,6 +51,8 @@
 const CLOUD_LIMIT: Duration = Duration::from_secs(6);
 const LIST_EVERY: Duration = Duration::from_secs(4);
 const TYPES_EVERY: Duration = Duration::from_secs(20);
+/// The longest time that decisions rest after a long pass.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// Below this share of the write budget only urgent records are written.
 const SPARE: f64 = 0.4;
 
@@ -98,6 +100,8 @@
     batch_at: Time,
     txn_ops: usize,
     waiting: Vec<Action>,
+    /// Decisions rest until then.
+    decide_at: Time,
 }
 
 impl Office {
@@ -126,6 +130,7 @@
             batch_at: now,
             txn_ops,
             waiting: Vec::new(),
+            decide_at: now,
         };
         office.read_live(String::new());
         office
@@ -312,7 +317,12 @@
         certain: bool,
         now: Time,
     ) {
-        self.controller.tick(now, super::time_of_day(), certain);
+        if now >= self.decide_at {
+            self.controller.tick(now, super::time_of_day(), certain);
+            // However much there is to decide, reports and users get most of the time.
+            let end = transport.now();
+            self.decide_at = end.after((end.since(now) * 3).min(LONGEST_PAUSE));
+        }
         self.commit(writes, now);
         for (job, chunk) in self.controller.ledger.take_unsure() {
             let ask = Ask::Get(records::run_key(job, chunk));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -214,6 +214,8 @@
     pub silent_reports: f64,
     /// A rented machine that is not up after this many times its boot time is replaced.
     pub boot_patience: f64,
+    /// A job of which nothing has begun for this long goes before all others.
+    pub starve_after_s: f64,
 }
 
 impl Default for Tuning {
@@ -225,6 +227,7 @@
             spare_share: 0.1,
             silent_reports: 3.5,
             boot_patience: 2.5,
+            starve_after_s: 100.0,
         }
     }
 }
@@ -246,6 +249,7 @@
             ("spare_share", tuning.spare_share, 0.0, 10.0),
             ("silent_reports", tuning.silent_reports, 2.0, 100.0),
             ("boot_patience", tuning.boot_patience, 1.5, 100.0),
+            ("starve_after_s", tuning.starve_after_s, 1.0, 86_400.0),
         ];
         for (field, value, least, most) in ranges {
             if !(least..=most).contains(&value) {
