Reads keep a share of the requests beside any backlog of writes

A head of a queue that lacked writes held up all lower classes, polls among them, for as long as a backlog lasted; jobs whose polls all fail count as forgotten. Now one request in four is a read if one waits, and a class that lacks writes lets others read. Tests in tests/budget.rs.

--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -89,6 +89,7 @@
 
 pub struct Store {
     next: u64,
+    turn: u32,
     queues: BTreeMap<Class, VecDeque<Waiting>>,
     requests: Budget,
     pub writes: Budget,
@@ -99,6 +100,8 @@
     pub bad_at: Option<Time>,
 }
 
+/// One of so many requests is a read, if any waits.
+const READ_EVERY: u32 = 4;
 /// A 429 means that the nodes together spend too much.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -107,6 +110,7 @@
     pub fn new(rps: f64, write_rps: f64) -> Store {
         Store {
             next: 0,
+            turn: 0,
             queues: BTreeMap::new(),
             requests: Budget::new(rps, rps),
             writes: Budget::new(write_rps, write_rps),
@@ -133,28 +137,42 @@
         id
     }
 
-    /// Takes the next request that the budget allows; `Err` holds one that waited too long.
+    /// Takes the next request that the budget allows; `Err` holds one that waited too long. The
+    /// higher class goes first, but every so often reads have their turn: else a backlog of writes
+    /// would leave polls unanswered for as long as it lasts.
     pub fn next_outgoing(&mut self, now: Time) -> Option<Result<Outgoing, AskId>> {
-        for (class, queue) in &mut self.queues {
-            let Some(first) = queue.front() else { continue };
+        for queue in self.queues.values_mut() {
+            if queue.front().is_some_and(|first| now > first.until) {
+                return queue.pop_front().map(|first| Err(first.id));
+            }
+        }
+        let mut order: Vec<Class> = self.queues.keys().copied().collect();
+        if self.turn + 1 >= READ_EVERY {
+            order.sort_by_key(|class| !matches!(class, Class::Lease | Class::Read));
+        }
+        let mut writes_taken = false;
+        for class in order {
+            let queue = self.queues.get(&class);
+            let Some(first) = queue.and_then(VecDeque::front) else {
+                continue;
+            };
             let writes = match &first.ask {
                 Ask::Txn(txn) => txn.changes.len() as f64,
                 _ => 0.0,
             };
-            let overdue = now > first.until;
             // The lease may run the account into debt: without it all the rest is lost.
-            let allowed = *class == Class::Lease
-                || (self.requests.available(now) >= 1.0
-                    && (writes == 0.0 || self.writes.available(now) >= writes.min(1.0)));
-            if !overdue && !allowed {
-                return None;
-            }
-            let Some(first) = queue.pop_front() else {
-                continue;
-            };
-            if overdue {
-                return Some(Err(first.id));
+            if class != Class::Lease {
+                if self.requests.available(now) < 1.0 {
+                    return None;
+                }
+                // Lower classes may read meanwhile, but not take the writes that this one waits for.
+                if writes > 0.0 && (writes_taken || self.writes.available(now) < 1.0) {
+                    writes_taken = true;
+                    continue;
+                }
             }
+            let first = self.queues.get_mut(&class)?.pop_front()?;
+            self.turn = (self.turn + 1) % READ_EVERY;
             self.requests.spend(now, 1.0);
             self.writes.spend(now, writes);
             return Some(Ok(self.render(first)));
--- /dev/null
+++ b/tests/budget.rs
@@ -0,0 +1,98 @@
+//! Requests to the state service under a budget that does not suffice: what goes first, and that
+//! nothing waits without end.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lichencrank::bookkeeping::store::{Ask, AskId, Class, Store};
+use lichencrank::protocol::state::{Change, Txn};
+use lichencrank::types::{LeaseId, Time};
+
+fn write(changes: usize) -> Ask {
+    let mut txn = Txn::default();
+    for number in 0..changes {
+        txn.changes.push(Change::delete(format!("k/{number}")));
+    }
+    Ask::Txn(txn)
+}
+
+/// Plays ten seconds with the given arrivals every 100 ms; returns how long each request of the
+/// class waited until it was sent, `None` for those refused.
+fn play(store: &mut Store, watched: Class, flood: &[(Class, usize)]) -> Vec<Option<u64>> {
+    let limit = Duration::from_millis(1700);
+    let mut asked: BTreeMap<AskId, u64> = BTreeMap::new();
+    let mut waits = Vec::new();
+    for now in 0..10_000u64 {
+        if now % 100 == 0 {
+            for (class, changes) in flood {
+                for _ in 0..6 {
+                    store.ask(Time(now), *class, write(*changes), limit);
+                }
+            }
+            let ask = match watched {
+                Class::Lease => Ask::Extend(LeaseId(1)),
+                _ => Ask::Get("live/job-000001".into()),
+            };
+            asked.insert(store.ask(Time(now), watched, ask, limit), now);
+        }
+        while let Some(next) = store.next_outgoing(Time(now)) {
+            let (id, sent) = match next {
+                Ok(out) => (out.id, true),
+                Err(id) => (id, false),
+            };
+            if let Some(at) = asked.remove(&id) {
+                waits.push(sent.then_some(now - at));
+            }
+        }
+    }
+    waits
+}
+
+/// A backlog of submissions and bookings, beyond both budgets, used to leave polls unanswered for
+/// as long as it lasted: their jobs counted as forgotten.
+#[test]
+fn polls_are_answered_beside_a_backlog_of_writes() {
+    let mut store = Store::new(40.0, 12.0);
+    let waits = play(
+        &mut store,
+        Class::Read,
+        &[(Class::User, 1), (Class::Booking, 6)],
+    );
+    assert!(waits.len() > 80, "{} were looked at", waits.len());
+    let refused = waits.iter().filter(|w| w.is_none()).count();
+    assert_eq!(refused, 0, "{waits:?}");
+}
+
+#[test]
+fn the_lease_waits_for_nothing() {
+    let mut store = Store::new(5.0, 2.0);
+    let waits = play(
+        &mut store,
+        Class::Lease,
+        &[(Class::User, 1), (Class::Booking, 6)],
+    );
+    assert!(waits.len() == 100);
+    assert!(waits.iter().all(|w| *w == Some(0)), "{waits:?}");
+}
+
+/// A booking may not take the writes that a submission waits for.
+#[test]
+fn submissions_get_writes_before_bookings() {
+    let mut store = Store::new(100.0, 6.0);
+    let limit = Duration::from_millis(1700);
+    let mut sent = BTreeMap::new();
+    let mut classes = BTreeMap::new();
+    for now in 0..5000u64 {
+        if now % 100 == 0 {
+            for class in [Class::Booking, Class::User] {
+                classes.insert(store.ask(Time(now), class, write(1), limit), class);
+            }
+        }
+        while let Some(next) = store.next_outgoing(Time(now)) {
+            if let Ok(out) = next {
+                *sent.entry(classes[&out.id]).or_insert(0) += 1;
+            }
+        }
+    }
+    assert!(sent[&Class::User] >= 3 * sent[&Class::Booking], "{sent:?}");
+}
