Give up taken machines at once: after their notice, or when the list lacks them

Now one whose notice is over, or that the list names no more while its reports stay away, is released at once; its bookings still end only by the cloud's confirmation. Tasks that would not end before the notice does move, without a margin for luck.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -279,6 +279,14 @@
 
     /// The cloud's list, whole. It lags: what it lacks proves nothing.
     pub fn on_listed(&mut self, listed: &[ListedHost], now: Time) {
+        let names: BTreeSet<&HostName> = listed.iter().map(|item| &item.name).collect();
+        for host in self.hosts.values_mut() {
+            // Once listed, a machine stays listed until it is gone; only a list from before its
+            // time could lack it, and that can't be any more. It is not proof for its bookings, but
+            // the cloud's word when it is released is.
+            let long_known = now.since(host.rented_at) > self.rules.list_lag * 2;
+            host.unlisted = host.listed && long_known && !names.contains(&host.name);
+        }
         for item in listed {
             if self.released.contains_key(&item.name) {
                 continue;
@@ -299,6 +307,7 @@
                 host.zone = item.zone.clone();
                 host.spot = item.spot;
             }
+            host.listed = true;
             if host.address.is_none() {
                 host.address = item.address.parse().ok();
             }
--- a/src/coordination/hosts.rs
+++ b/src/coordination/hosts.rs
@@ -123,6 +123,9 @@
     pub unfenced: (Session, Tick),
     /// No probe goes there before.
     pub probe_at: Time,
+    /// The cloud's list has named it, and the last one doesn't any more.
+    pub listed: bool,
+    pub unlisted: bool,
     /// When the cloud's list first called it running.
     pub running_since: Option<Time>,
 }
@@ -160,6 +163,8 @@
             unheeded: 0,
             unfenced: (Session(0), Tick(0)),
             probe_at: now,
+            listed: false,
+            unlisted: false,
             running_since: None,
         }
     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -68,6 +68,8 @@
     pub report: Duration,
     pub lease: Duration,
     pub cancel: Duration,
+    /// How far the cloud's list lags at the most.
+    pub list_lag: Duration,
     pub chunk_size: u32,
     /// Machines that may be asked at once whether they hear: each takes a socket for a while.
     pub probes: usize,
@@ -81,6 +83,7 @@
             report: service.workers.report(),
             lease: service.workers.lease(),
             cancel: service.workers.cancel(),
+            list_lag: seconds(service.cloud.list_lag_s) * 2,
             chunk_size: crate::bookkeeping::records::chunk_size(service.state.value_kb),
             probes: (service.resources.sockets / 20).max(2),
             teams: service.teams.clone(),
@@ -148,6 +151,8 @@
 
 /// Names of released machines are kept as long as a list or a late report may still show them.
 const KEPT_RELEASED: Duration = Duration::from_secs(600);
+/// A machine that is to be taken and was not heard after its time is gone this much later.
+const TAKEN_AFTER: Duration = Duration::from_millis(500);
 /// How often the machines are looked through for silent ones.
 const WATCH_EVERY: Duration = Duration::from_millis(250);
 /// The longest time between two passes over the waiting tasks.
@@ -703,7 +708,7 @@
                 continue;
             };
             let rest = self.expected_rest(job, booking.started, now);
-            if rest > left.as_secs_f64() * 1.5 && booking.stop.is_none() {
+            if rest > left.as_secs_f64() && booking.stop.is_none() {
                 booking.stop = Some(StopWhy::Drained);
             }
         }
@@ -1012,7 +1017,14 @@
         // Many at once are cut off rather than broken: they come back, later.
         let (silent, all) = by_zone.get(&host.zone).copied().unwrap_or_default();
         let cut = silent >= 3 && silent * 2 > all || self.unheard_zones.contains(&host.zone);
+        let taken = host.gone_by.is_some_and(|by| now.since(by) > TAKEN_AFTER);
         match (host.life, host.ear) {
+            // The cloud has taken it, as it said it would.
+            (Life::Up | Life::Silent, _) if taken && host.gone_by > Some(host.heard_at) => true,
+            // No longer in the list, and silent for longer than reports take.
+            (Life::Up | Life::Silent, _) if host.unlisted => {
+                silent_for > self.rules.report.mul_f64(1.3)
+            }
             (Life::Silent, _) => silent_for > if cut { self.rules.lease * 3 } else { limit },
             // Its tasks end with its lease, unless it hears again before.
             (Life::Up, Ear::Deaf { since }) => {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -104,6 +104,9 @@
 #[derive(Clone, Debug, Deserialize)]
 pub struct Cloud {
     pub rps: f64,
+    /// How far the list usually lags; at times twice that.
+    #[serde(default)]
+    pub list_lag_s: f64,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -146,6 +149,12 @@
             ("settings.state.value_kb", s.state.value_kb),
             ("settings.cloud.rps", s.cloud.rps),
         ];
+        let lag = s.cloud.list_lag_s;
+        if !(lag.is_finite() && lag >= 0.0) {
+            return Err(format!(
+                "settings.cloud.list_lag_s: must not be negative, is {lag}"
+            ));
+        }
         for (field, value) in positive {
             if !(value.is_finite() && value > 0.0) {
                 return Err(format!("{field}: must be above 0, is {value}"));
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -50,6 +50,7 @@
         report: Duration::from_secs(3),
         lease: Duration::from_secs(16),
         cancel: Duration::from_secs(40),
+        list_lag: Duration::from_secs(10),
         chunk_size: 16,
         probes: 4,
         teams: vec![Team {
