Rent ahead: the coming while is taken to bring what the last one did

Cause: jobs that came while others waited for machines to boot found all of these booked; the forecast knew only the tasks that wait already. A machine takes longer to come than most tasks run, so it now also finds room for the last 90 s of arrivals, thinned to the boot time, at the moments they would come again.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -47,6 +47,8 @@
     scarce: BTreeSet<usize>,
     /// The recent demand on the common and on the scarce types.
     peaks: [Peak; 2],
+    /// The jobs of the last while.
+    arrivals: VecDeque<Arrival>,
 }
 
 /// The highest of the values noted within a window of time.
@@ -89,6 +91,9 @@
 const MAX_FORECAST: u32 = 8000;
 /// Machines that one forecast may ask of a market; they go out in requests of [`MAX_RENTAL`].
 const MAX_WANTED: u64 = 400;
+/// What came in this time is taken for the usual rhythm.
+const ARRIVALS_FOR: Duration = Duration::from_secs(90);
+const MAX_ARRIVALS: usize = 1000;
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 /// Each machine known makes the looks this much rarer, so that they take the same share of the
 /// processor at any size.
@@ -109,9 +114,28 @@
             look_at: Time::default(),
             scarce: BTreeSet::new(),
             peaks: Default::default(),
+            arrivals: VecDeque::new(),
         }
     }
 
+    /// Notes a job that came at that time.
+    pub fn arrived(&mut self, at: Time, spec: &JobSpec) {
+        let spec = Box::new(spec.clone());
+        self.arrivals.push_back(Arrival { at, spec });
+        if self.arrivals.len() > MAX_ARRIVALS {
+            self.arrivals.pop_front();
+        }
+    }
+
+    /// What came in the last while, and how long ago.
+    fn coming(&mut self, now: Time) -> Vec<(f64, Box<JobSpec>)> {
+        self.arrivals.retain(|a| now.since(a.at) <= ARRIVALS_FOR);
+        let arrivals = self.arrivals.iter();
+        arrivals
+            .map(|a| (now.since(a.at).as_secs_f64(), a.spec.clone()))
+            .collect()
+    }
+
     pub fn release(&mut self, name: HostName) {
         if !self.releasing.contains(&name) && !self.to_release.contains(&name) {
             self.to_release.push_back(name);
@@ -134,6 +158,23 @@
     left: u64,
 }
 
+/// Tasks that the forecast has to find room for; times are seconds from now.
+struct Work<'a> {
+    spec: &'a JobSpec,
+    run: f64,
+    due: Option<f64>,
+    tasks: u64,
+    /// When they begin to wait.
+    from: f64,
+}
+
+/// A job that came lately. The same is likely to come again as soon as it did.
+#[derive(Debug)]
+struct Arrival {
+    at: Time,
+    spec: Box<JobSpec>,
+}
+
 /// A machine that is up or to come, as the forecast sees it; times are seconds from now.
 struct Lane {
     kind: usize,
@@ -434,12 +475,7 @@
     /// would be sooner, one is rented.
     fn rent(&mut self, scarce: &[bool], now: Time) {
         let ranks = self.ranked();
-        if ranks.is_empty() {
-            return;
-        }
-        let mut lanes = self.lanes(now);
-        let mut wanted: BTreeMap<Market, u64> = BTreeMap::new();
-        let mut looked_at = 0;
+        let mut works = Vec::new();
         for rank in ranks {
             let Some(job) = self.jobs.get(&rank.id) else {
                 continue;
@@ -448,10 +484,32 @@
             if now < job.not_before || job.suspect() {
                 continue;
             }
+            works.push(Work {
+                spec,
+                run: self.expected_run(job),
+                due: job.due_ms().map(|due| (due - self.day_ms as f64) / 1000.0),
+                tasks: u64::from(job.waiting()).min(self.team_room(job)),
+                from: 0.0,
+            });
+        }
+        let coming = self.fleet.coming(now);
+        works.extend(coming.iter().filter_map(|c| self.work_to_come(c, scarce)));
+        if works.is_empty() {
+            return;
+        }
+        let mut lanes = self.lanes(now);
+        let mut wanted: BTreeMap<Market, u64> = BTreeMap::new();
+        let mut looked_at = 0;
+        for work in works {
+            let Work {
+                spec,
+                run,
+                due,
+                tasks: waiting,
+                from,
+            } = work;
+            let need = placement::need(spec);
             let usable = self.usable_kinds(spec, scarce);
-            let run = self.expected_run(job);
-            let due = job.due_ms().map(|due| (due - self.day_ms as f64) / 1000.0);
-            let waiting = u64::from(job.waiting()).min(self.team_room(job));
             let mut queue = Self::starts(&lanes, spec, &usable);
             let least_ready = self.least_ready(spec, &usable);
             for left in (1..=waiting).rev() {
@@ -462,7 +520,7 @@
                 let soonest = queue
                     .peek()
                     .map(|Reverse((start, _))| f64::from_bits(*start));
-                let start = soonest.unwrap_or(f64::INFINITY);
+                let start = soonest.unwrap_or(f64::INFINITY).max(from);
                 let outlook = Outlook {
                     start,
                     run,
@@ -476,8 +534,8 @@
                     if *open < MAX_WANTED {
                         *open += 1;
                         let mut lane = self.new_lane(market);
-                        lane.take(lane.at, run, &job.need);
-                        if let Some(next) = lane.start_of(&job.need) {
+                        lane.take(lane.at.max(from), run, &need);
+                        if let Some(next) = lane.start_of(&need) {
                             queue.push(Reverse((next.to_bits(), lanes.len())));
                         }
                         lanes.push(lane);
@@ -487,8 +545,8 @@
                 let Some(Reverse((start, at))) = queue.pop() else {
                     break;
                 };
-                lanes[at].take(f64::from_bits(start), run, &job.need);
-                if let Some(next) = lanes[at].start_of(&job.need) {
+                lanes[at].take(f64::from_bits(start).max(from), run, &need);
+                if let Some(next) = lanes[at].start_of(&need) {
                     queue.push(Reverse((next.to_bits(), at)));
                 }
             }
@@ -498,6 +556,28 @@
         }
     }
 
+    /// What will wait by the time that a machine rented now is ready, if the coming while is like
+    /// the last: a machine takes so long to come that it has to be rented before the work is there.
+    fn work_to_come<'a>(
+        &self,
+        (age, spec): &'a (f64, Box<JobSpec>),
+        scarce: &[bool],
+    ) -> Option<Work<'a>> {
+        let window = ARRIVALS_FOR.as_secs_f64();
+        let horizon = self.least_ready(spec, &self.usable_kinds(spec, scarce));
+        let share = (horizon / window).min(1.0);
+        let from = (window - age) * share;
+        let run = self.expected_run_of(spec);
+        Some(Work {
+            spec,
+            run,
+            due: spec.deadline_s.map(|d| from + d.0),
+            tasks: (spec.tasks as f64 * share).round() as u64,
+            from,
+        })
+        .filter(|w| w.tasks > 0)
+    }
+
     /// Asks the cloud for machines, in requests of what one may hold.
     fn order(&mut self, market: Market, mut count: u64, now: Time) {
         while count > 0 {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -15,6 +15,7 @@
 use crate::bookkeeping::records::{ChunkRecord, JobRecord};
 use crate::protocol::cloud::{MachineType, Rental};
 use crate::protocol::state::Txn;
+use crate::protocol::users::JobSpec;
 use crate::protocol::workers::{Cause, Order, Report, TaskReport, TaskState as Reported};
 use crate::settings::{Service, Team, Tuning};
 use crate::types::{seconds, Attempt, HostName, JobId, Session, Stamp, TaskId, Term, Tick, Time};
@@ -143,6 +144,8 @@
     preempt_at: Time,
     watch_at: Time,
     started_at: Time,
+    /// When it was last told the time.
+    now: Time,
     /// The time of day, in milliseconds, by which deadlines are judged.
     day_ms: u64,
     /// How long tasks of a class ran, and how long their owners had guessed.
@@ -189,6 +192,7 @@
             preempt_at: now,
             watch_at: now,
             started_at: now,
+            now,
             day_ms: 0,
             runs: BTreeMap::new(),
         }
@@ -218,6 +222,9 @@
             record.spec.tasks,
             record.spec.priority
         );
+        let age = self.day_ms.saturating_sub(record.at_ms);
+        let at = Time(self.now.0.saturating_sub(age));
+        self.fleet.arrived(at, &record.spec);
         self.jobs.insert(id, Job::new(record, live));
         self.place_wanted = true;
     }
@@ -551,14 +558,22 @@
 
     /// How long a task of the job is likely to run.
     fn expected_run(&self, job: &Job) -> f64 {
-        let class = job.spec.as_ref().and_then(|s| self.runs.get(&s.class));
-        let (ran, guessed) = class.copied().unwrap_or_default();
-        // A few guesses taken at their word keep the first runs from deciding alone.
-        let prior = job.estimate() * 4.0;
-        let ratio = ((ran + prior) / (guessed + prior)).clamp(0.4, 2.5);
+        let expected = match &job.spec {
+            Some(spec) => self.expected_run_of(spec),
+            None => job.estimate(),
+        };
         // The job's own finished tasks tell more than any guess.
         let (own, count) = job.ran;
-        (job.estimate() * ratio + own) / (1.0 + count)
+        (expected + own) / (1.0 + count)
+    }
+
+    /// How long a task of such a job is likely to run, by its owner's guess and the class's runs.
+    fn expected_run_of(&self, spec: &JobSpec) -> f64 {
+        let (ran, guessed) = self.runs.get(&spec.class).copied().unwrap_or_default();
+        let estimate = spec.estimate_s.0.max(1.0);
+        // A few guesses taken at their word keep the first runs from deciding alone.
+        let prior = estimate * 4.0;
+        estimate * ((ran + prior) / (guessed + prior)).clamp(0.4, 2.5)
     }
 
     /// How much longer a running task will take. One past its time shows that the guess was bad.
@@ -895,6 +910,7 @@
     /// Does what time alone calls for; `may_act` says that the own lease is surely valid.
     pub fn tick(&mut self, now: Time, day_ms: u64, may_act: bool) {
         self.day_ms = day_ms;
+        self.now = now;
         match self.phase {
             Phase::Loading => return,
             Phase::Gathering { until } => {
