Rent ahead only for as many arrivals as are sure to come again

Cause: at the earlier sites a handful of arrivals in 90 s says little about the next while, and machines rented for all of them cost more than they gained. Of n jobs of a class one standard deviation (1 / sqrt n) is now taken for chance.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -93,6 +93,9 @@
 const MAX_WANTED: u64 = 400;
 /// What came in this time is taken for the usual rhythm.
 const ARRIVALS_FOR: Duration = Duration::from_secs(90);
+/// How much of what came is chance: of as many jobs of a class this many standard deviations may
+/// stay away the next time, and are not rented for. Where few come, little is sure.
+const CHANCE: f64 = 1.0;
 const MAX_ARRIVALS: usize = 1000;
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 /// Each machine known makes the looks this much rarer, so that they take the same share of the
@@ -493,7 +496,15 @@
             });
         }
         let coming = self.fleet.coming(now);
-        works.extend(coming.iter().filter_map(|c| self.work_to_come(c, scarce)));
+        let mut came: BTreeMap<&str, f64> = BTreeMap::new();
+        for (_, spec) in &coming {
+            *came.entry(&spec.class).or_default() += 1.0;
+        }
+        works.extend(coming.iter().filter_map(|c| {
+            let count = came.get(c.1.class.as_str()).copied().unwrap_or(0.0);
+            let sure = 1.0 - CHANCE / count.max(1.0).sqrt();
+            self.work_to_come(c, sure, scarce)
+        }));
         if works.is_empty() {
             return;
         }
@@ -561,6 +572,7 @@
     fn work_to_come<'a>(
         &self,
         (age, spec): &'a (f64, Box<JobSpec>),
+        sure: f64,
         scarce: &[bool],
     ) -> Option<Work<'a>> {
         let window = ARRIVALS_FOR.as_secs_f64();
@@ -572,7 +584,7 @@
             spec,
             run,
             due: spec.deadline_s.map(|d| from + d.0),
-            tasks: (spec.tasks as f64 * share).round() as u64,
+            tasks: (spec.tasks as f64 * share * sure.max(0.0)).round() as u64,
             from,
         })
         .filter(|w| w.tasks > 0)
