--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -218,9 +218,11 @@
             return;
         }
         log::debug!(
-            "{id}: {} tasks, {:?}",
+            "{id}: {} tasks, {:?}, {} CPUs, due in {} s",
             record.spec.tasks,
-            record.spec.priority
+            record.spec.priority,
+            record.spec.cpus.0,
+            record.spec.deadline_s.map_or(f64::INFINITY, |d| d.0)
         );
         let age = self.day_ms.saturating_sub(record.at_ms);
         let at = Time(self.now.0.saturating_sub(age));
