During the first round of a term, place on machines that have reported

The records hold what is booked on machines that have not reported, so those that have may be used after a quarter of the round; renting, returning and judging machines still wait for the whole.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -495,6 +495,7 @@
                 from: 0.0,
             });
         }
+        let waiting_now: u64 = works.iter().map(|w| w.tasks).sum();
         let coming = self.fleet.coming(now);
         let mut came: BTreeMap<&str, f64> = BTreeMap::new();
         for (_, spec) in &coming {
@@ -562,6 +563,11 @@
                 }
             }
         }
+        log::debug!(
+            "forecast: {looked_at} tasks, {waiting_now} waiting now, on {} machines; {} more wanted",
+            lanes.len(),
+            wanted.values().sum::<u64>()
+        );
         for (market, count) in wanted {
             self.order(market, count, now);
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -56,7 +56,8 @@
 pub enum Phase {
     /// Records are being read.
     Loading,
-    /// One report round passes, so that the picture is whole before anything is placed.
+    /// One report round passes, so that the picture is whole before machines are judged; work goes
+    /// only to those that have reported.
     Gathering {
         until: Time,
     },
@@ -161,6 +162,8 @@
 /// The longest time between two passes over the waiting tasks.
 const PLACE_EVERY: Duration = Duration::from_secs(1);
 const LEARN_KEEP: f64 = 0.98;
+/// Machines that have reported get work after this part of the first report round.
+const EARLY_PART: u32 = 4;
 /// A failure on a machine keeps the job's tasks away from it for this long.
 const AVOID: Duration = Duration::from_secs(20);
 
@@ -922,6 +925,12 @@
                 let nothing_known = self.hosts.is_empty()
                     && now.since(self.started_at) >= Duration::from_millis(500);
                 if !round_over && !nothing_known {
+                    // What has reported may be used meanwhile: the records hold what is booked on
+                    // the others, and none of these takes anything before it has reported.
+                    let early = now.since(self.started_at) >= self.rules.report / EARLY_PART;
+                    if may_act && early && std::mem::take(&mut self.place_wanted) {
+                        self.place(now);
+                    }
                     return;
                 }
                 self.enter(Phase::Placing);
