Keep no spare beyond the recent peak, now that machines are rented ahead

Cause: a tenth more than the peak of 25 s was kept before machines were rented ahead; now both paid for the same reserve.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -233,7 +233,7 @@
             leader_lease_s: 3.0,
             batch_interval_s: 0.0,
             idle_return_s: 25.0,
-            spare_share: 0.1,
+            spare_share: 0.0,
             silent_reports: 3.5,
             boot_patience: 2.5,
             starve_after_s: 100.0,
