Among jobs that waited too long only arrival counts; tests for what was left out

Cause, found by the trace two_teams_one_floods: of two jobs that had both waited too long the one that could still be in time went first, so a flood could have kept a late one waiting. New tests: two_teams_one_floods, a late claim of the process before in the middle of an election, and every accepted job answered for after an outage with all nodes killed.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -148,6 +148,20 @@
     pub id: JobId,
 }
 
+impl Rank {
+    /// Among those that have waited too long only their arrival counts.
+    fn starving(self) -> Rank {
+        Rank {
+            patient: false,
+            borrowing: false,
+            priority: Priority::Critical,
+            late: false,
+            due: 0,
+            ..self
+        }
+    }
+}
+
 impl Controller {
     /// All jobs with waiting tasks, in the order in which they are served.
     pub(super) fn ranked(&self) -> Vec<Rank> {
@@ -177,8 +191,8 @@
                 let waited = seconds((self.day_ms.saturating_sub(job.at_ms)) as f64 / 1000.0);
                 let aged = waited >= starve_after;
                 let begun = job.booked > 0 || job.done > 0;
-                ranks.push(Rank {
-                    patient: !aged || begun,
+                let rank = Rank {
+                    patient: true,
                     borrowing: !within,
                     priority: spec.priority,
                     late: waited < starve_after * 2
@@ -186,6 +200,11 @@
                     due: job.due_ms().map_or(u64::MAX, |due| due as u64),
                     arrival: job.live,
                     id: job.id,
+                };
+                ranks.push(if aged && !begun {
+                    rank.starving()
+                } else {
+                    rank
                 });
             }
         }
--- a/tests/leadership.rs
+++ b/tests/leadership.rs
@@ -118,6 +118,29 @@
     assert_eq!(l.role, Role::Following);
 }
 
+/// Back within a fraction of a second, in the middle of an election: the claim of the process before
+/// arrives late and wins the key. The new process must not take that for its own office; it ends
+/// both leases and wins the next election under a higher term.
+#[test]
+fn a_late_claim_of_the_process_before_is_undone() {
+    let mut l = node("n0", 2);
+    assert_eq!(l.on_read(free(3), Time(0)), Some(Wish::Grant(TTL)));
+    let granted = Outcome::Granted(LeaseId(9));
+    l.on_outcome(Step::Grant, granted, Time(0), Time(5));
+    let lost = Outcome::Conflict(vec!["lead/holder".into()]);
+    let wish = l.on_outcome(Step::Claim, lost, Time(5), Time(10));
+    assert_eq!(wish, Some(Wish::End(LeaseId(9))));
+    let wish = l.on_read(held_by("n0", 12345, 4), Time(500));
+    assert_eq!(wish, Some(Wish::End(LeaseId(7))));
+    assert!(!l.is_leading());
+    l.on_read(free(4), Time(900));
+    let next = Role::Granting {
+        term: Term(5),
+        term_stamp: Stamp(40),
+    };
+    assert_eq!(l.role, next);
+}
+
 /// The claim's answer was lost, but the record shows that it was carried out.
 #[test]
 fn a_lost_claim_that_was_carried_out_is_recognised() {
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -157,6 +157,39 @@
     finish(front, "job-000031");
 }
 
+/// Nothing is forgotten: after an outage in which all nodes were killed and were back at once, every
+/// node answers for every accepted job, both to a poll and to a repeated submission.
+#[test]
+fn every_job_is_answered_for_after_an_outage() {
+    let mut world = World::start("forgets");
+    let fronts: Vec<SocketAddr> = world.nodes.iter().map(|n| n.front).collect();
+    let ids: Vec<String> = (0..40).map(|n| format!("job-0001{n:02}")).collect();
+    for (at, id) in ids.iter().enumerate() {
+        // Far more tasks than the machines hold: most of them wait all the while.
+        assert!(matches!(submit(fronts[at % 3], id, 200), 200 | 201));
+    }
+    world.state_away.store(true, Ordering::SeqCst);
+    for node in &mut world.nodes {
+        node.kill();
+        node.start();
+    }
+    let refused = eventually("a refusal", || {
+        call(fronts[0], "GET", "/api/jobs/job-000100", &[])
+    });
+    assert_eq!(refused.0, 503);
+    world.state_away.store(false, Ordering::SeqCst);
+    for id in &ids {
+        for front in &fronts {
+            let (status, state) = eventually("a poll is answered", || {
+                poll(*front, id).filter(|(s, _)| *s != 503 && *s != 429)
+            });
+            assert_eq!(status, 200, "{id}");
+            assert!(["queued", "running", "done"].contains(&state.as_str()));
+            assert_eq!(submit(*front, id, 200), 200, "{id} again");
+        }
+    }
+}
+
 /// Reads one response off a connection that stays open.
 fn response(stream: &mut TcpStream) -> String {
     let mut all = Vec::new();
