--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -285,6 +285,8 @@
                 );
                 if (names.len() as u64) < open.rental.count {
                     self.fleet.closed.insert(open.market, now.after(CLOSED_FOR));
+                } else if !self.is_closed(&open.market, now) {
+                    self.fleet.closed.remove(&open.market);
                 }
                 for name in names {
                     if self.released.contains_key(&name) {
@@ -542,8 +544,11 @@
                 let hopeful = start > least_ready;
                 let market = hopeful.then(|| self.worth_renting(spec, &outlook, &usable, now));
                 if let Some(market) = market.flatten() {
+                    // Where there was nothing lately, one request is enough to ask again.
+                    let doubtful = self.fleet.closed.contains_key(&market);
+                    let most = if doubtful { MAX_RENTAL } else { MAX_WANTED };
                     let open = wanted.entry(market.clone()).or_default();
-                    if *open < MAX_WANTED {
+                    if *open < most {
                         *open += 1;
                         let mut lane = self.new_lane(market);
                         lane.take(lane.at.max(from), run, &need);
