A report from before the term does not make a machine known

Cause, found by the trace late_copies: a late copy from a machine that was gone made a new leader expect it, count its room as coming, and rent one machine too few until it was given up.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -374,14 +374,18 @@
             return Ok(Vec::new());
         }
         let name = report.host.clone();
+        if report.token < self.term {
+            if let Some(mut host) = self.hosts.remove(&name) {
+                self.unfenced(&mut host, report, own, now);
+                self.hosts.insert(name, host);
+            }
+            return Ok(Vec::new());
+        }
         let mut host = self
             .hosts
             .remove(&name)
             .unwrap_or_else(|| Host::new(name.clone(), now));
-        let orders = if report.token < self.term {
-            self.unfenced(&mut host, report, own, now);
-            Vec::new()
-        } else if host.is_news(report) {
+        let orders = if host.is_news(report) {
             self.update(&mut host, report, own, now);
             if own {
                 self.orders(&mut host, Some(report.tick))
@@ -397,7 +401,7 @@
     }
 
     /// A report made before its worker saw our token may be a late copy from long ago, even from
-    /// a machine that is gone by now. It says that there is, or was, such a machine, no more; the
+    /// a machine that is gone by now. It proves nothing, not even that there is such a machine; the
     /// answer carries the token, and the next report counts.
     fn unfenced(&mut self, host: &mut Host, report: &Report, own: bool, now: Time) {
         self.describe(host, report);
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -418,6 +418,12 @@
                 };
                 self.controller.on_listed(&[item], now);
             }
+            "machines" => {
+                let known = self.controller.hosts.values();
+                let known: Vec<String> =
+                    known.map(|h| format!("{} {:?}", h.name, h.life)).collect();
+                self.say(&known.join(", "));
+            }
             "unheard" => {
                 let zones = words[1..].iter().map(|z| (*z).to_owned());
                 self.controller.unheard_zones = zones.collect();
