--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -130,6 +130,11 @@
             || matches!(self.flight, Flight::Repeat(_))
     }
 
+    /// Records that wait to be written: those that something waits for, and the others.
+    pub fn backlog(&self) -> (usize, usize) {
+        (self.urgent.len() + self.finishing.len(), self.normal.len())
+    }
+
     pub fn is_idle(&self) -> bool {
         !matches!(self.flight, Flight::Sent(_))
     }
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -180,6 +180,16 @@
         None
     }
 
+    /// How many requests wait for the budget, and for how long the oldest has.
+    pub fn backlog(&self, now: Time) -> (usize, Duration) {
+        let waiting = self.queues.values().flatten();
+        let ages = waiting.map(|w| w.limit.saturating_sub(w.until.since(now)));
+        (
+            self.queues.values().map(VecDeque::len).sum(),
+            ages.max().unwrap_or_default(),
+        )
+    }
+
     fn render(&mut self, waiting: Waiting) -> Outgoing {
         let mut limit = waiting.limit;
         let (kind, method, target, body) = match &waiting.ask {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -661,8 +661,12 @@
     }
 
     fn tell(&mut self) {
+        let (waiting, oldest) = self.store.backlog(self.transport.now());
+        log::debug!("state service: {waiting} requests wait, the oldest for {oldest:?}");
         if let Some(office) = &self.office {
             log::info!("{}", office.controller.summary());
+            let (urgent, others) = office.controller.ledger.backlog();
+            log::debug!("records to write: {urgent} urgent, {others} others");
         }
         if let Some(turns) = &mut self.turns {
             log::debug!(
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -63,6 +63,25 @@
     assert_eq!(refused, 0, "{waits:?}");
 }
 
+/// Operators see in the log how much waits, and for how long.
+#[test]
+fn a_backlog_tells_its_length_and_age() {
+    let mut store = Store::new(2.0, 2.0);
+    assert_eq!(store.backlog(Time(0)), (0, Duration::ZERO));
+    for now in [0, 100, 200, 300] {
+        store.ask(
+            Time(now),
+            Class::Read,
+            Ask::Get("types".into()),
+            Duration::from_secs(2),
+        );
+    }
+    while let Some(next) = store.next_outgoing(Time(300)) {
+        assert!(next.is_ok());
+    }
+    assert_eq!(store.backlog(Time(450)), (2, Duration::from_millis(250)));
+}
+
 #[test]
 fn the_lease_waits_for_nothing() {
     let mut store = Store::new(5.0, 2.0);
