Bounds for our own sockets; nothing is begun without a lease at that moment; standstills noticed

One socket a machine for its reports, a second one only while it is told something: kept connections take at most an eighth and go first, commands under way a sixteenth, and a command that found no socket no longer speaks against its machine.

After a standstill reports and answers that waited here are as old as that: machines are used again once heard anew, reads of the leader's key count by when they were sent, users get no answer from before. A `run` in the answer to a report needs the lease too, which it did not.

--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -140,9 +140,15 @@
     /// Takes the next request that the budget allows; `Err` holds one that waited too long. The
     /// higher class goes first, but every so often reads have their turn: else a backlog of writes
     /// would leave polls unanswered for as long as it lasts.
-    pub fn next_outgoing(&mut self, now: Time) -> Option<Result<Outgoing, AskId>> {
-        for queue in self.queues.values_mut() {
-            if queue.front().is_some_and(|first| now > first.until) {
+    /// `may_book` says that the own lease stands at this moment: bookings that have waited here since
+    /// it ran out are refused.
+    pub fn next_outgoing(&mut self, now: Time, may_book: bool) -> Option<Result<Outgoing, AskId>> {
+        for (class, queue) in &mut self.queues {
+            let void = |first: &Waiting| {
+                let books = *class == Class::Booking && matches!(first.ask, Ask::Txn(_));
+                now > first.until || books && !may_book
+            };
+            if queue.front().is_some_and(void) {
                 return queue.pop_front().map(|first| Err(first.id));
             }
         }
@@ -275,7 +281,7 @@
     fn interpret(&mut self, now: Time, kind: Kind, result: Result<Response, CallError>) -> Outcome {
         let response = match result {
             Ok(response) => response,
-            Err(CallError::NotSent) => return Outcome::Refused,
+            Err(CallError::NotSent | CallError::NoSocket) => return Outcome::Refused,
             Err(CallError::Lost) => return Outcome::Unknown,
         };
         let body = &response.body[..];
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -128,7 +128,16 @@
     /// Whether the own lease surely still stands. Without it the leader goes on answering workers,
     /// but begins nothing: an outage is not deposition.
     pub fn is_certain(&self, now: Time) -> bool {
-        self.is_leading() && now < self.valid_until
+        now < self.valid_until()
+    }
+
+    /// Until when the own lease surely stands, as far as is known now.
+    pub fn valid_until(&self) -> Time {
+        if self.is_leading() {
+            self.valid_until
+        } else {
+            Time::default()
+        }
     }
 
     pub fn next_wake(&self) -> Time {
@@ -215,9 +224,11 @@
         Wish::StepDown
     }
 
-    pub fn on_read(&mut self, seen: Option<Seen>, now: Time) -> Option<Wish> {
+    /// `sent` is when the read was sent: an answer that lay here for long, as this process stood
+    /// still, tells how things were and not how they are.
+    pub fn on_read(&mut self, seen: Option<Seen>, sent: Time, now: Time) -> Option<Wish> {
         self.reading = None;
-        let seen = seen?;
+        let seen = seen.filter(|_| now.since(sent) < READ_LIMIT)?;
         if self.role != Role::Following {
             return None;
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,7 +7,7 @@
 pub mod leadership;
 pub mod placement;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -44,6 +44,8 @@
     Report(Box<Report>),
     /// Surely not executed.
     NotSent,
+    /// Never left this process, so it says nothing of the machine either.
+    HeldBack,
     /// May have been executed, or may yet be.
     Lost,
 }
@@ -75,6 +77,8 @@
     pub chunk_size: u32,
     /// Machines that may be asked at once whether they hear: each takes a socket for a while.
     pub probes: usize,
+    /// Direct commands that may be under way at once, for the same reason; the others wait.
+    pub commands: usize,
     pub teams: Vec<Team>,
     pub tuning: Tuning,
 }
@@ -88,6 +92,7 @@
             list_lag: seconds(service.cloud.list_lag_s) * 2,
             chunk_size: crate::bookkeeping::records::chunk_size(service.state.value_kb),
             probes: (service.resources.sockets / 20).max(2),
+            commands: (service.resources.sockets / 16).max(4),
             teams: service.teams.clone(),
             tuning: tuning.clone(),
         }
@@ -121,6 +126,9 @@
 pub struct Controller {
     pub term: Term,
     pub phase: Phase,
+    /// Until when the own lease surely stands. It is looked at whenever something is begun, as the
+    /// process may have stood still since it was last asked.
+    pub valid_until: Time,
     rules: Rulebook,
     pub types: Vec<MachineType>,
     pub hosts: BTreeMap<HostName, Host>,
@@ -134,8 +142,11 @@
     /// Machines whose release the cloud confirmed lately, and when: late reports and the lagging
     /// list may still speak of them.
     released: BTreeMap<HostName, Time>,
-    /// Probes on their way.
+    /// Probes on their way, and other direct commands.
     probing: usize,
+    commanding: usize,
+    /// Machines whose orders wait until fewer commands are under way.
+    to_command: VecDeque<HostName>,
     /// Bookings that wait for their record, by the record.
     recording: BTreeMap<(JobId, u32), Vec<(HostName, TaskId)>>,
     actions: Vec<Action>,
@@ -178,6 +189,7 @@
         Controller {
             term,
             phase: Phase::Loading,
+            valid_until: Time::default(),
             rules,
             types,
             hosts: BTreeMap::new(),
@@ -188,6 +200,8 @@
             used: BTreeMap::new(),
             released: BTreeMap::new(),
             probing: 0,
+            commanding: 0,
+            to_command: VecDeque::new(),
             recording: BTreeMap::new(),
             actions: Vec::new(),
             place_wanted: false,
@@ -205,6 +219,22 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Whether the own lease surely stands: without it nothing is begun.
+    fn may_act(&self, now: Time) -> bool {
+        now < self.valid_until
+    }
+
+    /// The process stood still for longer than its lease, while the world went on. What was heard
+    /// before is old, and so is what comes in now: it waited here for as long. A machine is used
+    /// again once it has been heard twice, or has answered a probe.
+    pub fn stood_still(&mut self) {
+        for host in self.hosts.values_mut() {
+            if host.life == Life::Up {
+                host.enter(Life::Silent);
+            }
+        }
+    }
+
     /// The one place where the controller changes its phase.
     fn enter(&mut self, phase: Phase) {
         log::info!("term {}: {:?} -> {phase:?}", self.term, self.phase);
@@ -388,7 +418,7 @@
         let orders = if host.is_news(report) {
             self.update(&mut host, report, own, now);
             if own {
-                self.orders(&mut host, Some(report.tick))
+                self.orders(&mut host, Some(report.tick), now)
             } else {
                 Vec::new()
             }
@@ -739,7 +769,8 @@
     }
 
     /// What the worker should do now. In the answer to a report, `run` can't be executed late.
-    fn orders(&mut self, host: &mut Host, answer_to: Option<Tick>) -> Vec<Order> {
+    fn orders(&mut self, host: &mut Host, answer_to: Option<Tick>, now: Time) -> Vec<Order> {
+        let may_start = self.may_act(now);
         let mut orders = Vec::new();
         for (&(task, attempt), leftover) in &host.leftovers {
             let number = self
@@ -777,7 +808,7 @@
                         grace_s,
                     });
                 }
-                (None, BookingPhase::Ordered) if booking.session == host.session => {
+                (None, BookingPhase::Ordered) if booking.session == host.session && may_start => {
                     booking.sent = true;
                     if let Some(tick) = answer_to {
                         booking.answered = tick;
@@ -797,11 +828,16 @@
         let (true, Some(to)) = (ready, host.address) else {
             return;
         };
-        let mut orders = self.orders(host, None);
+        if self.commanding >= self.rules.commands {
+            self.to_command.push_back(host.name.clone());
+            return;
+        }
+        let mut orders = self.orders(host, None, now);
         orders.retain(|o| !matches!(o, Order::Clear { .. }));
         if orders.is_empty() {
             return;
         }
+        self.commanding += 1;
         for order in &orders {
             if let Order::Run { task, attempt } = order {
                 *host.unanswered.entry((*task, *attempt)).or_default() += 1;
@@ -827,7 +863,35 @@
     ) -> Result<(), Deposed> {
         if orders.is_empty() {
             self.probing = self.probing.saturating_sub(1);
+        } else {
+            self.commanding = self.commanding.saturating_sub(1);
         }
+        let taken_in = self.commanded(name, session, orders, result, now);
+        self.command_next(now);
+        taken_in
+    }
+
+    /// Commands that waited for others to end go out, in their order.
+    fn command_next(&mut self, now: Time) {
+        while self.commanding < self.rules.commands {
+            let Some(name) = self.to_command.pop_front() else {
+                return;
+            };
+            if let Some(mut host) = self.hosts.remove(&name) {
+                self.command(&mut host, now);
+                self.hosts.insert(name, host);
+            }
+        }
+    }
+
+    fn commanded(
+        &mut self,
+        name: &HostName,
+        session: Session,
+        orders: &[Order],
+        result: CommandResult,
+        now: Time,
+    ) -> Result<(), Deposed> {
         let Some(host) = self.hosts.get_mut(name) else {
             return Ok(());
         };
@@ -848,7 +912,7 @@
             CommandResult::NotSent | CommandResult::Lost if host.life == Life::Up => {
                 host.ignored(now);
             }
-            CommandResult::NotSent | CommandResult::Lost => {}
+            CommandResult::NotSent | CommandResult::Lost | CommandResult::HeldBack => {}
         }
         Ok(())
     }
@@ -916,8 +980,9 @@
 
     // ---- time
 
-    /// Does what time alone calls for; `may_act` says that the own lease is surely valid.
-    pub fn tick(&mut self, now: Time, day_ms: u64, may_act: bool) {
+    /// Does what time alone calls for.
+    pub fn tick(&mut self, now: Time, day_ms: u64) {
+        let may_act = self.may_act(now);
         self.day_ms = day_ms;
         self.now = now;
         match self.phase {
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -329,10 +329,11 @@
     }
 
     /// What the other node said; `None` if it could not be asked, or did not answer.
-    pub fn on_relayed(&mut self, id: FrontId, relayed: Option<Relayed>) {
+    pub fn on_relayed(&mut self, id: FrontId, relayed: Option<Relayed>, now: Time) {
         let Some(open) = self.open.get(&id) else {
             return;
         };
+        let relayed = relayed.filter(|_| now < open.until);
         let response = match (relayed, &open.want) {
             (None, _) => unavailable(),
             (Some(Relayed { status: 404, .. }), Want::Repeat { otherwise }) => otherwise.clone(),
@@ -403,7 +404,17 @@
 
     // ---- outcomes
 
-    pub fn on_outcome(&mut self, ask: FrontAsk, outcome: Outcome, counts: Counts) {
+    pub fn on_outcome(&mut self, ask: FrontAsk, outcome: Outcome, counts: Counts, now: Time) {
+        // What lay here while this process stood still is an old answer; nobody gets it any more.
+        let asked = match &ask {
+            FrontAsk::Batch(ids) => &ids[..],
+            FrontAsk::One(id) => std::slice::from_ref(id),
+        };
+        for id in asked {
+            if self.open.get(id).is_some_and(|open| now >= open.until) {
+                self.finish(*id, unavailable());
+            }
+        }
         match ask {
             FrontAsk::Batch(ids) => self.on_batch(ids, outcome),
             FrontAsk::One(id) => self.on_one(id, outcome, counts),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -83,6 +83,8 @@
     /// Since when a peer in the home zone has been fit to lead while this node does.
     better_since: Option<Time>,
     summary_at: Time,
+    /// When this process was last seen to move.
+    awake_at: Time,
     turns: Option<Histogram<u64>>,
 }
 
@@ -151,6 +153,7 @@
             state_ok: false,
             better_since: None,
             summary_at: Time::default(),
+            awake_at: Time::default(),
             turns,
             settings,
             tuning,
@@ -166,6 +169,7 @@
             .map_err(|e| format!("event loop: {e}"))?;
         let started = self.turns.is_some().then(Instant::now);
         while let Some(happening) = self.transport.happened() {
+            self.mind_standstill();
             match happening {
                 Happening::Request {
                     conn,
@@ -175,6 +179,7 @@
                 Happening::Reply { call, result } => self.on_reply(call, result),
             }
         }
+        self.mind_standstill();
         self.due();
         self.pump();
         if let (Some(turns), Some(started)) = (&mut self.turns, started) {
@@ -183,6 +188,21 @@
         Ok(())
     }
 
+    /// A process may be halted anywhere while its clock runs on. Nothing here takes as long as a
+    /// leader's lease by itself.
+    fn mind_standstill(&mut self) {
+        let now = self.transport.now();
+        let gap = now.since(self.awake_at);
+        self.awake_at = now;
+        if gap < seconds(self.tuning.leader_lease_s) {
+            return;
+        }
+        log::info!("stood still for {gap:?}");
+        if let Some(office) = &mut self.office {
+            office.controller.stood_still();
+        }
+    }
+
     // ---- requests
 
     fn on_request(&mut self, conn: ConnId, door: Door, request: Request) {
@@ -264,7 +284,7 @@
             .iter()
             .find(|p| self.hears(p, now) && state_ok(p));
         let Some(peer) = fit else {
-            return self.front.on_relayed(id, None);
+            return self.front.on_relayed(id, None, now);
         };
         let body = peers::encode(relay);
         let call = self
@@ -401,7 +421,7 @@
         if let Some(id) = self.relays.remove(&call) {
             let answer = result.ok().filter(|r| r.status == 200);
             let relayed = answer.and_then(|r| peers::decode(&r.body));
-            self.front.on_relayed(id, relayed);
+            self.front.on_relayed(id, relayed, now);
             return;
         }
         if self.types_call == Some(call) {
@@ -432,12 +452,12 @@
         let now = self.transport.now();
         match self.purposes.remove(&id) {
             None => {}
-            Some(Purpose::Lead(Step::Read, _)) => {
+            Some(Purpose::Lead(Step::Read, sent)) => {
                 let seen = match outcome {
                     Outcome::Page(page) => Some(read_lead(&page)),
                     _ => None,
                 };
-                let wish = self.leadership.on_read(seen, now);
+                let wish = self.leadership.on_read(seen, sent, now);
                 self.grant(wish);
             }
             Some(Purpose::Lead(step, sent)) => {
@@ -453,9 +473,11 @@
                 }
             }
             Some(Purpose::Front(ask)) => {
-                let office = &self.office;
-                let counts = |job| office.as_ref().and_then(|o| o.counts(job));
-                self.front.on_outcome(ask, outcome, &counts);
+                // Without a lease that stands, what this node knows of tasks may be long past.
+                let certain = self.leadership.is_certain(now);
+                let office = self.office.as_ref().filter(|_| certain);
+                let counts = |job| office.and_then(|o| o.counts(job));
+                self.front.on_outcome(ask, outcome, &counts, now);
             }
             Some(Purpose::Types) => {
                 if let Outcome::Item(Some(item)) = outcome {
@@ -683,9 +705,9 @@
     /// Sends all that is ready and allowed.
     fn pump(&mut self) {
         let now = self.transport.now();
-        let certain = self.leadership.is_certain(now);
         if let Some(office) = &mut self.office {
-            office.turn(&mut self.transport, &mut self.store.writes, certain, now);
+            office.controller.valid_until = self.leadership.valid_until();
+            office.turn(&mut self.transport, &mut self.store.writes, now);
             let term = office.controller.term;
             for (class, ask, limit, what) in office.take_wishes() {
                 let id = self.store.ask(now, class, ask, limit);
@@ -693,7 +715,12 @@
             }
         }
         self.flush_front(now);
-        while let Some(next) = self.store.next_outgoing(now) {
+        loop {
+            let now = self.transport.now();
+            let may_book = self.leadership.is_certain(now);
+            let Some(next) = self.store.next_outgoing(now, may_book) else {
+                return;
+            };
             match next {
                 Ok(out) => {
                     let state = self.settings.outside.state;
--- a/src/node/office.rs
+++ b/src/node/office.rs
@@ -310,20 +310,16 @@
     // ---- time
 
     /// Everything that is due: decisions, the next batch, calls to workers and the cloud.
-    pub fn turn(
-        &mut self,
-        transport: &mut Transport,
-        writes: &mut Budget,
-        certain: bool,
-        now: Time,
-    ) {
+    pub fn turn(&mut self, transport: &mut Transport, writes: &mut Budget, now: Time) {
         if now >= self.decide_at {
-            self.controller.tick(now, super::time_of_day(), certain);
+            self.controller.tick(now, super::time_of_day());
             // However much there is to decide, reports and users get most of the time.
             let end = transport.now();
             self.decide_at = end.after((end.since(now) * 3).min(LONGEST_PAUSE));
         }
-        self.commit(writes, now);
+        if self.may_act(transport) {
+            self.commit(writes, now);
+        }
         for (job, chunk) in self.controller.ledger.take_unsure() {
             let ask = Ask::Get(records::run_key(job, chunk));
             self.wishes.push((
@@ -333,7 +329,7 @@
                 OfficeAsk::Reread(job, chunk),
             ));
         }
-        if certain {
+        if self.may_act(transport) {
             self.chores(transport, now);
         }
         let mut actions = std::mem::take(&mut self.waiting);
@@ -343,6 +339,11 @@
         }
     }
 
+    /// Asks the clock anew: the turn may have begun long ago.
+    fn may_act(&self, transport: &Transport) -> bool {
+        transport.now() < self.controller.valid_until
+    }
+
     fn commit(&mut self, writes: &mut Budget, now: Time) {
         let ledger = &self.controller.ledger;
         if !ledger.is_idle() || now < self.batch_at {
@@ -415,6 +416,15 @@
                 session,
                 orders,
             } => {
+                let starts = orders.iter().any(|o| matches!(o, Order::Run { .. }));
+                if starts && !self.may_act(transport) {
+                    // It brings no report, so it can't tell of another leader either.
+                    let result = CommandResult::HeldBack;
+                    let _ = self
+                        .controller
+                        .on_commanded(&host, session, &orders, result, now);
+                    return;
+                }
                 let token = self.controller.term;
                 let body = encode(&Command {
                     token,
@@ -431,7 +441,9 @@
                     },
                 );
             }
-            action if self.cloud_budget.available(now) < 1.0 => self.waiting.push(action),
+            action if self.cloud_budget.available(now) < 1.0 || !self.may_act(transport) => {
+                self.waiting.push(action);
+            }
             Action::Rent(rental) => {
                 let body = encode(&rental);
                 self.ask_cloud(
@@ -556,6 +568,7 @@
         Ok(r) if r.status == 400 => CommandResult::NotSent,
         Ok(_) | Err(CallError::Lost) => CommandResult::Lost,
         Err(CallError::NotSent) => CommandResult::NotSent,
+        Err(CallError::NoSocket) => CommandResult::HeldBack,
     }
 }
 
@@ -568,7 +581,7 @@
         Ok(r) if r.status == 503 && !is_trouble(&r.body) => RentalResult::NoCapacity,
         Ok(r) if matches!(r.status, 400 | 429 | 503) => RentalResult::Refused,
         Ok(_) | Err(CallError::Lost) => RentalResult::Unknown,
-        Err(CallError::NotSent) => RentalResult::Refused,
+        Err(CallError::NotSent | CallError::NoSocket) => RentalResult::Refused,
     }
 }
 
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -14,6 +14,8 @@
 pub enum CallError {
     /// No byte of the request left this process: it was surely not carried out.
     NotSent,
+    /// The same, for want of a socket here: it says nothing of the other side.
+    NoSocket,
     /// The request may have been carried out, or may yet be.
     Lost,
 }
--- a/src/transport/event_loop.rs
+++ b/src/transport/event_loop.rs
@@ -3,7 +3,7 @@
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
 use slab::Slab;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -55,6 +55,12 @@
 const IDLE: Duration = Duration::from_secs(90);
 /// Kept idle connections to one address.
 const KEPT: usize = 8;
+/// This part of the sockets stays for our own calls, so that what comes in, however much, can't
+/// cut us off from the state service and the cloud.
+const OWN_PART: usize = 8;
+/// At most this part of the sockets is kept open for calls to come: a machine costs one socket for
+/// its reports all the time, and a second one only while it is being told something.
+const KEPT_PART: usize = 8;
 /// Accepts at one wake-up, so that a flood can't keep other work waiting.
 const ACCEPTS: usize = 64;
 
@@ -65,6 +71,8 @@
     sockets: Slab<Socket>,
     serial: u64,
     kept: HashMap<SocketAddr, Vec<usize>>,
+    /// All kept connections by their last calls: the first has been idle the longest.
+    idle_calls: BTreeMap<CallId, usize>,
     deadlines: Timers<Deadline>,
     happened: VecDeque<Happening>,
     max_sockets: usize,
@@ -80,6 +88,7 @@
             sockets: Slab::new(),
             serial: 0,
             kept: HashMap::new(),
+            idle_calls: BTreeMap::new(),
             deadlines: Timers::default(),
             happened: VecDeque::new(),
             // The poller, standard streams and the like need some of them.
@@ -177,7 +186,7 @@
                 Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
                 Err(e) => {
                     log::debug!("accept: {e}");
-                    self.close_an_idle_one();
+                    self.make_room();
                     return;
                 }
             }
@@ -186,8 +195,8 @@
     }
 
     fn accepted(&mut self, mut stream: TcpStream, door: Door) {
-        // A quarter stays for our own calls, so that users can't cut us off from our sources.
-        if self.sockets.len() >= self.max_sockets * 3 / 4 && !self.close_an_idle_one() {
+        let for_others = self.max_sockets - self.max_sockets / OWN_PART;
+        if self.sockets.len() >= for_others && !self.make_room() {
             return;
         }
         let _ = stream.set_nodelay(true);
@@ -213,8 +222,14 @@
         self.deadlines.set(now.after(SLOW), Deadline::Conn(id));
     }
 
-    /// Makes room for a socket by closing the one that has been idle longest.
-    fn close_an_idle_one(&mut self) -> bool {
+    /// Makes room for a socket by closing an idle one: first a connection kept for our own calls,
+    /// which costs only a new handshake; then the one that has waited longest for a request.
+    fn make_room(&mut self) -> bool {
+        if let Some((_, slot)) = self.idle_calls.first_key_value() {
+            let slot = *slot;
+            self.drop_socket(slot);
+            return true;
+        }
         let oldest = self
             .sockets
             .iter()
@@ -235,8 +250,12 @@
                 Socket::Listener(l, _) => self.poll.registry().deregister(l),
                 Socket::Server(c) => self.poll.registry().deregister(c.stream()),
                 Socket::Client(c) => {
+                    self.idle_calls.remove(&c.call);
                     if let Some(kept) = self.kept.get_mut(&c.to) {
                         kept.retain(|s| *s != slot);
+                        if kept.is_empty() {
+                            self.kept.remove(&c.to);
+                        }
                     }
                     self.poll.registry().deregister(c.stream())
                 }
@@ -276,10 +295,14 @@
                 if !kept.contains(&slot) {
                     kept.push(slot);
                 }
+                self.idle_calls.insert(call, slot);
                 if kept.len() > KEPT {
                     let oldest = kept[0];
                     self.drop_socket(oldest);
                 }
+                while self.idle_calls.len() > self.max_sockets / KEPT_PART {
+                    self.make_room();
+                }
             }
             client::Phase::Connecting | client::Phase::Busy => {}
         }
@@ -352,16 +375,17 @@
         let deadline = self.now().after(limit);
         if let Some(slot) = self.kept.get_mut(&to).and_then(Vec::pop) {
             if let Some(Socket::Client(conn)) = self.sockets.get_mut(slot) {
+                self.idle_calls.remove(&conn.call);
                 let result = conn.reuse(call, request);
                 self.deadlines.set(deadline, Deadline::Call(call, slot));
                 self.called(slot, result);
                 return call;
             }
-            self.not_sent(call);
+            self.not_sent(call, CallError::NotSent);
             return call;
         }
-        if self.sockets.len() >= self.max_sockets && !self.close_an_idle_one() {
-            self.not_sent(call);
+        if self.sockets.len() >= self.max_sockets && !self.make_room() {
+            self.not_sent(call, CallError::NoSocket);
             return call;
         }
         match ClientConn::connect(to, call, request) {
@@ -377,21 +401,21 @@
                     entry.insert(Socket::Client(Box::new(conn)));
                     self.deadlines.set(deadline, Deadline::Call(call, slot));
                 } else {
-                    self.not_sent(call);
+                    self.not_sent(call, CallError::NoSocket);
                 }
             }
             Err(e) => {
                 log::debug!("connect to {to}: {e}");
-                self.not_sent(call);
+                self.not_sent(call, CallError::NoSocket);
             }
         }
         call
     }
 
-    fn not_sent(&mut self, call: CallId) {
+    fn not_sent(&mut self, call: CallId, why: CallError) {
         self.happened.push_back(Happening::Reply {
             call,
-            result: Err(CallError::NotSent),
+            result: Err(why),
         });
     }
 }
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -35,7 +35,7 @@
             };
             asked.insert(store.ask(Time(now), watched, ask, limit), now);
         }
-        while let Some(next) = store.next_outgoing(Time(now)) {
+        while let Some(next) = store.next_outgoing(Time(now), true) {
             let (id, sent) = match next {
                 Ok(out) => (out.id, true),
                 Err(id) => (id, false),
@@ -76,7 +76,7 @@
             Duration::from_secs(2),
         );
     }
-    while let Some(next) = store.next_outgoing(Time(300)) {
+    while let Some(next) = store.next_outgoing(Time(300), true) {
         assert!(next.is_ok());
     }
     assert_eq!(store.backlog(Time(450)), (2, Duration::from_millis(250)));
@@ -107,7 +107,7 @@
                 classes.insert(store.ask(Time(now), class, write(1), limit), class);
             }
         }
-        while let Some(next) = store.next_outgoing(Time(now)) {
+        while let Some(next) = store.next_outgoing(Time(now), true) {
             if let Ok(out) = next {
                 *sent.entry(classes[&out.id]).or_insert(0) += 1;
             }
--- a/tests/leadership.rs
+++ b/tests/leadership.rs
@@ -37,7 +37,7 @@
 fn leader() -> Leadership {
     let mut l = node("n0", 1);
     let now = Time(0);
-    assert_eq!(l.on_read(free(3), now), Some(Wish::Grant(TTL)));
+    assert_eq!(l.on_read(free(3), now, now), Some(Wish::Grant(TTL)));
     let granted = Outcome::Granted(LeaseId(9));
     assert!(matches!(
         l.on_outcome(Step::Grant, granted, now, now),
@@ -58,7 +58,7 @@
 #[test]
 fn the_claim_is_conditional_on_the_free_key_and_the_term() {
     let mut l = node("n0", 1);
-    l.on_read(free(3), Time(0));
+    l.on_read(free(3), Time(0), Time(0));
     let wish = l.on_outcome(Step::Grant, Outcome::Granted(LeaseId(9)), Time(0), Time(0));
     let Some(Wish::Claim(txn)) = wish else {
         panic!("{wish:?}")
@@ -112,7 +112,7 @@
 fn a_restarted_process_ends_its_predecessors_lease() {
     let mut l = node("n0", 2);
     assert_eq!(
-        l.on_read(held_by("n0", 12345, 3), Time(0)),
+        l.on_read(held_by("n0", 12345, 3), Time(0), Time(0)),
         Some(Wish::End(LeaseId(7)))
     );
     assert_eq!(l.role, Role::Following);
@@ -124,16 +124,16 @@
 #[test]
 fn a_late_claim_of_the_process_before_is_undone() {
     let mut l = node("n0", 2);
-    assert_eq!(l.on_read(free(3), Time(0)), Some(Wish::Grant(TTL)));
+    assert_eq!(l.on_read(free(3), Time(0), Time(0)), Some(Wish::Grant(TTL)));
     let granted = Outcome::Granted(LeaseId(9));
     l.on_outcome(Step::Grant, granted, Time(0), Time(5));
     let lost = Outcome::Conflict(vec!["lead/holder".into()]);
     let wish = l.on_outcome(Step::Claim, lost, Time(5), Time(10));
     assert_eq!(wish, Some(Wish::End(LeaseId(9))));
-    let wish = l.on_read(held_by("n0", 12345, 4), Time(500));
+    let wish = l.on_read(held_by("n0", 12345, 4), Time(500), Time(500));
     assert_eq!(wish, Some(Wish::End(LeaseId(7))));
     assert!(!l.is_leading());
-    l.on_read(free(4), Time(900));
+    l.on_read(free(4), Time(900), Time(900));
     let next = Role::Granting {
         term: Term(5),
         term_stamp: Stamp(40),
@@ -145,7 +145,7 @@
 #[test]
 fn a_lost_claim_that_was_carried_out_is_recognised() {
     let mut l = node("n0", 3);
-    l.on_read(free(3), Time(0));
+    l.on_read(free(3), Time(0), Time(0));
     let wish = l.on_outcome(Step::Grant, Outcome::Granted(LeaseId(7)), Time(0), Time(0));
     let Some(Wish::Claim(txn)) = wish else {
         panic!("{wish:?}")
@@ -160,7 +160,7 @@
         holder: Some((holder, Stamp(44))),
         term: Some((Term(4), Stamp(44))),
     };
-    let wish = l.on_read(Some(seen), Time(1000));
+    let wish = l.on_read(Some(seen), Time(1000), Time(1000));
     assert_eq!(
         wish,
         Some(Wish::Lead {
@@ -178,8 +178,11 @@
 fn a_leader_that_made_room_rests() {
     let mut l = leader();
     assert_eq!(l.resign(Time(1000)), Some(Wish::Resign(LeaseId(9))));
-    assert_eq!(l.on_read(free(4), Time(1100)), None);
-    assert_eq!(l.on_read(free(4), Time(4100)), Some(Wish::Grant(TTL)));
+    assert_eq!(l.on_read(free(4), Time(1100), Time(1100)), None);
+    assert_eq!(
+        l.on_read(free(4), Time(4100), Time(4100)),
+        Some(Wish::Grant(TTL))
+    );
 }
 
 /// A node in the wrong zone lets the key lie for its handicap, no longer.
@@ -187,9 +190,12 @@
 fn a_handicap_delays_the_claim() {
     let mut l = node("n0", 1);
     l.handicap = Duration::from_millis(900);
-    assert_eq!(l.on_read(free(3), Time(5000)), None);
-    assert_eq!(l.on_read(free(3), Time(5400)), None);
-    assert_eq!(l.on_read(free(3), Time(5900)), Some(Wish::Grant(TTL)));
+    assert_eq!(l.on_read(free(3), Time(5000), Time(5000)), None);
+    assert_eq!(l.on_read(free(3), Time(5400), Time(5400)), None);
+    assert_eq!(
+        l.on_read(free(3), Time(5900), Time(5900)),
+        Some(Wish::Grant(TTL))
+    );
 }
 
 /// A node may stand in for a leader that it can't hear only while the state service has just said
@@ -198,13 +204,13 @@
 fn the_leader_is_confirmed_for_a_moment_only() {
     let mut l = node("n0", 1);
     assert_eq!(l.confirmed(Time(1000)), None);
-    l.on_read(held_by("n1", 5, 3), Time(1000));
+    l.on_read(held_by("n1", 5, 3), Time(1000), Time(1000));
     assert_eq!(l.confirmed(Time(2000)), Some((Term(3), "n1")));
     assert_eq!(l.confirmed(Time(2600)), None);
-    l.on_read(held_by("n1", 5, 3), Time(3000));
+    l.on_read(held_by("n1", 5, 3), Time(3000), Time(3000));
     l.heard_of(Term(4), None);
     assert_eq!(l.confirmed(Time(3100)), None);
-    l.on_read(held_by("n1", 5, 4), Time(3200));
-    l.on_read(free(4), Time(3300));
+    l.on_read(held_by("n1", 5, 4), Time(3200), Time(3200));
+    l.on_read(free(4), Time(3300), Time(3300));
     assert_eq!(l.confirmed(Time(3400)), None);
 }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -53,6 +53,7 @@
         list_lag: Duration::from_secs(10),
         chunk_size: 16,
         probes: 4,
+        commands: 1000,
         teams: vec![Team {
             name: "open".into(),
             cpus: None,
@@ -126,7 +127,7 @@
         let mut random = fastrand::Rng::with_seed(seed);
         let mut c = Controller::new(TERM, Stamp(1), rules(), types(), Time(0));
         c.on_loaded(Time(0));
-        c.tick(Time(5000), 5000, false);
+        c.tick(Time(5000), 5000);
         let mut machines = BTreeMap::new();
         for number in 0..random.u32(1..60) {
             let name = HostName::new(&format!("vm-{number:04}"));
@@ -165,7 +166,8 @@
             c.on_job(record.clone(), Stamp(10 + number));
             records.push(record);
         }
-        c.tick(Time(5000), 5000, true);
+        c.valid_until = Time(u64::MAX);
+        c.tick(Time(5000), 5000);
         for record in records {
             let id = record.spec.id;
             let mut siblings = BTreeSet::new();
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -22,6 +22,7 @@
 use std::time::Duration;
 
 const TERM: Term = Term(5);
+const FOREVER: Time = Time(u64::MAX);
 
 fn machine(name: &str, cpus: f64, memory: f64, price: f64, zones: &[&str]) -> MachineType {
     MachineType {
@@ -55,6 +56,7 @@
         list_lag: Duration::from_secs(10),
         chunk_size: 4,
         probes: 4,
+        commands: 8,
         teams: vec![team("open", 0.0, 0.0), team("tight", 4.0, 8.0)],
         tuning: Tuning::default(),
     }
@@ -121,8 +123,10 @@
             machine("small", 4.0, 16.0, 0.3, &["a", "b"]),
             machine("big", 16.0, 64.0, 1.2, &["a"]),
         ];
+        let mut controller = Controller::new(TERM, Stamp(1), rules(), types, Time(0));
+        controller.valid_until = FOREVER;
         Replay {
-            controller: Controller::new(TERM, Stamp(1), rules(), types, Time(0)),
+            controller,
             now: Time(0),
             stamp: 10,
             out: String::new(),
@@ -363,13 +367,14 @@
                     Err(Deposed(term)) => self.say(&format!("deposed by term {term}")),
                 }
             }
-            "executed" | "unsent" | "lost" => {
+            "executed" | "unsent" | "held" | "lost" => {
                 let Some((session, orders)) = self.commands.remove(words[1]) else {
                     return self.say("no command is open");
                 };
                 let result = match words[0] {
                     "executed" => CommandResult::Report(Box::new(self.report(rest))),
                     "unsent" => CommandResult::NotSent,
+                    "held" => CommandResult::HeldBack,
                     _ => CommandResult::Lost,
                 };
                 let name = host(words[1]);
@@ -385,9 +390,14 @@
                     ledger.reread(jobs, job, chunk, Stamp(words[1].parse().expect("a stamp")));
                 }
             }
-            "tick" => self
-                .controller
-                .tick(now, now.0, !words.contains(&"uncertain")),
+            "lease" => {
+                self.controller.valid_until = match words[1] {
+                    "stands" => FOREVER,
+                    until => Time((until.parse::<f64>().expect("seconds") * 1000.0) as u64),
+                };
+            }
+            "thaw" => self.controller.stood_still(),
+            "tick" => self.controller.tick(now, now.0),
             "rented" => {
                 let result = match &words[2..] {
                     ["unknown"] => RentalResult::Unknown,
