--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -169,6 +169,8 @@
     tasks: u64,
     /// When they begin to wait.
     from: f64,
+    /// It is not here yet, but likely to come.
+    to_come: bool,
 }
 
 /// A job that came lately. The same is likely to come again as soon as it did.
@@ -219,6 +221,49 @@
     }
 }
 
+/// When each of the machines that suit a job would take a task of it, the soonest on top. Times are
+/// never negative, so their bits are in the order of their values.
+#[derive(Default)]
+struct Starts(BinaryHeap<Reverse<(u64, usize)>>);
+
+impl Starts {
+    fn of(lanes: &[Lane], spec: &JobSpec, usable: &[bool]) -> Starts {
+        let need = placement::need(spec);
+        let suits = |lane: &Lane| {
+            usable[lane.kind]
+                && (spec.spot || !lane.spot)
+                && spec.zone.as_ref().is_none_or(|z| *z == lane.zone)
+        };
+        let suited = lanes.iter().enumerate().filter(|(_, lane)| suits(lane));
+        let starts = suited
+            .filter_map(|(at, lane)| Some(Reverse((lane.start_of(&need)?.to_bits(), at))))
+            .collect();
+        Starts(starts)
+    }
+
+    /// Infinite if none ever would.
+    fn soonest(&self) -> f64 {
+        let first = self.0.peek();
+        first.map_or(f64::INFINITY, |Reverse((start, _))| f64::from_bits(*start))
+    }
+
+    /// Gives the next task to the machine that would take it the soonest; false if there is none.
+    fn take(&mut self, lanes: &mut [Lane], from: f64, run: f64, need: &Resources) -> bool {
+        let Some(Reverse((start, at))) = self.0.pop() else {
+            return false;
+        };
+        lanes[at].take(f64::from_bits(start).max(from), run, need);
+        self.add(lanes, at, need);
+        true
+    }
+
+    fn add(&mut self, lanes: &[Lane], at: usize, need: &Resources) {
+        if let Some(next) = lanes[at].start_of(need) {
+            self.0.push(Reverse((next.to_bits(), at)));
+        }
+    }
+}
+
 impl Controller {
     pub(super) fn run_fleet(&mut self, now: Time) {
         self.send_releases(now);
@@ -495,6 +540,7 @@
                 due: job.due_ms().map(|due| (due - self.day_ms as f64) / 1000.0),
                 tasks: u64::from(job.waiting()).min(self.team_room(job)),
                 from: 0.0,
+                to_come: false,
             });
         }
         let waiting_now: u64 = works.iter().map(|w| w.tasks).sum();
@@ -521,28 +567,47 @@
                 due,
                 tasks: waiting,
                 from,
+                to_come,
             } = work;
             let need = placement::need(spec);
             let usable = self.usable_kinds(spec, scarce);
-            let mut queue = Self::starts(&lanes, spec, &usable);
+            let mut queue = Starts::of(&lanes, spec, &usable);
             let least_ready = self.least_ready(spec, &usable);
+            // Kinds that are scarce for others, where only they keep a deadline.
+            let more = if to_come {
+                None
+            } else {
+                self.more_kinds(spec, &usable, run, due)
+            };
+            let mut spare = Starts::default();
+            let mut spare_ready = f64::INFINITY;
+            if let Some(more) = &more {
+                let only: Vec<bool> = more.iter().zip(&usable).map(|(m, u)| *m && !*u).collect();
+                spare = Starts::of(&lanes, spec, &only);
+                spare_ready = self.least_ready(spec, &only);
+            }
+            let in_time = |start: f64| due.is_none_or(|due| start + run <= due);
             for left in (1..=waiting).rev() {
                 looked_at += 1;
                 if looked_at > MAX_FORECAST {
                     break;
                 }
-                let soonest = queue
-                    .peek()
-                    .map(|Reverse((start, _))| f64::from_bits(*start));
-                let start = soonest.unwrap_or(f64::INFINITY).max(from);
+                let start = queue.soonest().max(from);
+                if !in_time(start) && in_time(spare.soonest()) {
+                    spare.take(&mut lanes, from, run, &need);
+                    continue;
+                }
                 let outlook = Outlook {
                     start,
                     run,
                     due,
                     left,
                 };
-                let hopeful = start > least_ready;
-                let market = hopeful.then(|| self.worth_renting(spec, &outlook, &usable, now));
+                let hurried = more.as_ref();
+                let hurried = hurried.filter(|_| !in_time(start) && in_time(spare_ready));
+                let hopeful = start > least_ready || hurried.is_some();
+                let kinds = hurried.unwrap_or(&usable);
+                let market = hopeful.then(|| self.worth_renting(spec, &outlook, kinds, now));
                 if let Some(market) = market.flatten() {
                     // Where there was nothing lately, one request is enough to ask again.
                     let doubtful = self.fleet.closed.contains_key(&market);
@@ -550,21 +615,20 @@
                     let open = wanted.entry(market.clone()).or_default();
                     if *open < most {
                         *open += 1;
+                        let starts = if usable[market.0] {
+                            &mut queue
+                        } else {
+                            &mut spare
+                        };
                         let mut lane = self.new_lane(market);
                         lane.take(lane.at.max(from), run, &need);
-                        if let Some(next) = lane.start_of(&need) {
-                            queue.push(Reverse((next.to_bits(), lanes.len())));
-                        }
                         lanes.push(lane);
+                        starts.add(&lanes, lanes.len() - 1, &need);
                         continue;
                     }
                 }
-                let Some(Reverse((start, at))) = queue.pop() else {
+                if !queue.take(&mut lanes, from, run, &need) {
                     break;
-                };
-                lanes[at].take(f64::from_bits(start).max(from), run, &need);
-                if let Some(next) = lanes[at].start_of(&need) {
-                    queue.push(Reverse((next.to_bits(), at)));
                 }
             }
         }
@@ -597,6 +661,7 @@
             due: spec.deadline_s.map(|d| from + d.0),
             tasks: (spec.tasks as f64 * share * sure.max(0.0)).round() as u64,
             from,
+            to_come: true,
         })
         .filter(|w| w.tasks > 0)
     }
@@ -710,27 +775,8 @@
         }
     }
 
-    /// When each of the machines would take a task of the job, the soonest on top. Times are never
-    /// negative, so their bits are in the order of their values.
-    fn starts(
-        lanes: &[Lane],
-        spec: &JobSpec,
-        usable: &[bool],
-    ) -> BinaryHeap<Reverse<(u64, usize)>> {
-        let need = placement::need(spec);
-        let suits = |lane: &Lane| {
-            usable[lane.kind]
-                && (spec.spot || !lane.spot)
-                && spec.zone.as_ref().is_none_or(|z| *z == lane.zone)
-        };
-        let suited = lanes.iter().enumerate().filter(|(_, lane)| suits(lane));
-        suited
-            .filter_map(|(at, lane)| Some(Reverse((lane.start_of(&need)?.to_bits(), at))))
-            .collect()
-    }
-
     /// How soon a task of the job could start on any machine rented now.
-    fn least_ready(&self, spec: &JobSpec, usable: &[bool]) -> f64 {
+    pub(super) fn least_ready(&self, spec: &JobSpec, usable: &[bool]) -> f64 {
         let kinds = (0..self.types.len()).filter(|k| usable[*k]);
         kinds
             .map(|kind| self.ready_after(spec, kind))
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -98,8 +98,8 @@
 /// What one pass over the waiting tasks keeps.
 struct Pass {
     open: Vec<Open>,
-    /// What found no machine, and whether it may use spot machines.
-    full: Vec<(Resources, bool)>,
+    /// What found no machine, whether it may use spot machines, and whether scarce ones too.
+    full: Vec<(Resources, bool, bool)>,
     left: u64,
     now: Time,
 }
@@ -307,12 +307,14 @@
             return;
         }
         let plain = spec.types.is_none() && spec.zone.is_none() && !spec.one_zone && !spec.spread;
-        let shape = (job.need, spec.spot);
+        let mut usable = self.usable_kinds(spec, scarce);
+        let due_in = job.due_ms().map(|due| (due - self.day_ms as f64) / 1000.0);
+        let mut more = self.more_kinds(spec, &usable, self.expected_run(job), due_in);
+        let shape = (job.need, spec.spot, more.is_some());
         // A job like one that found no machine in this pass won't find one either.
         if plain && pass.full.contains(&shape) {
             return;
         }
-        let usable = self.usable_kinds(spec, scarce);
         let mut room = self.team_room(job).min(pass.left);
         let mut siblings = self.siblings(job, spec);
         let mut ranked = self.eligible(job, spec, &usable, pass);
@@ -322,6 +324,11 @@
             };
             let task = TaskId { job: job.id, index };
             let Some(best) = self.best_host(spec, task, &mut ranked, &siblings, pass) else {
+                if let Some(more) = more.take() {
+                    usable = more;
+                    ranked = self.eligible(job, spec, &usable, pass);
+                    continue;
+                }
                 if !rank.patient {
                     Self::hold_room(job, spec, &usable, pass);
                 } else if plain {
@@ -587,6 +594,34 @@
             .any(|k| *k != kind && scarce.get(*k) == Some(&false))
     }
 
+    /// All kinds that suit urgent work, if that is the only way to its deadline: it would be late if
+    /// it waited for another machine of its own kinds, and is in time if it starts now. Work of the
+    /// same or a higher priority that has no other kind keeps what is scarce.
+    pub(super) fn more_kinds(
+        &self,
+        spec: &JobSpec,
+        usable: &[bool],
+        run: f64,
+        due_in: Option<f64>,
+    ) -> Option<Vec<bool>> {
+        let due_in = due_in?;
+        let hurried = run <= due_in && self.least_ready(spec, usable) + run > due_in;
+        if !hurried {
+            return None;
+        }
+        let outranks = |kind: usize| {
+            let mut others = self.jobs.values().filter(|j| j.waiting() > 0);
+            others.all(|j| {
+                let other = j.spec.as_ref();
+                other.is_none_or(|o| o.priority > spec.priority || self.suited(o) != [kind])
+            })
+        };
+        let more =
+            |kind: usize| usable[kind] || type_suits(spec, &self.types[kind]) && outranks(kind);
+        let more: Vec<bool> = (0..self.types.len()).map(more).collect();
+        (more != usable).then_some(more)
+    }
+
     /// Books a task: recorded first, run later.
     fn book(&mut self, job: &mut Job, task: TaskId, name: &HostName, now: Time) {
         let Some(host) = self.hosts.get_mut(name) else {
