Machines known from records alone are no zone of their own, so their silence is no cut

Cause: after a take-over machines that had died before it have no known zone; the watch took them for a zone of which all are silent, so a cut, and let them hold their bookings for three worker leases.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1026,18 +1026,25 @@
         // missed a report count, or each would be given up alone, one after the other.
         let late = self.rules.report.mul_f64(1.8);
         let mut by_zone: BTreeMap<String, (usize, usize)> = BTreeMap::new();
+        let mut everywhere = (0, 0);
         for host in self.hosts.values_mut() {
             if host.life == Life::Up && now.since(host.heard_at) > limit {
                 log::info!("{}: silent", host.name);
                 host.enter(Life::Silent);
             }
             if matches!(host.life, Life::Up | Life::Silent) {
+                let deaf = matches!(host.ear, Ear::Deaf { .. });
+                let gone = usize::from(deaf || now.since(host.heard_at) > late);
                 let (silent, all) = by_zone.entry(host.zone.clone()).or_default();
                 *all += 1;
-                let deaf = matches!(host.ear, Ear::Deaf { .. });
-                *silent += usize::from(deaf || now.since(host.heard_at) > late);
+                *silent += gone;
+                everywhere.0 += gone;
+                everywhere.1 += 1;
             }
         }
+        // Of machines that only the records of an earlier leader name the zone is not known. They are
+        // all silent, but no zone of their own: that would look like a cut for ever.
+        by_zone.insert(String::new(), everywhere);
         if !may_act {
             return;
         }
