Late copies of a run find the attempt still there; a peer is heard by its answers only

Causes found by going through every interface: after `clear` a worker has forgotten an attempt, so a late copy of a direct `run` would start it anew, on a machine while it runs on another, or after its job was cancelled. Workers now remember for four of their leases. A late copy of a peer's greeting made a dead peer look alive; now only its answers to our own greetings do, by when those were sent.

--- a/src/coordination/hosts.rs
+++ b/src/coordination/hosts.rs
@@ -69,6 +69,8 @@
     pub change: u64,
     /// A `run` of it may have left, under this leader or an earlier one.
     pub sent: bool,
+    /// This leader sent a `run` of it directly, so copies may come late.
+    pub direct: bool,
     /// The last report in whose answer `run` went out.
     pub answered: Tick,
     /// The last report in whose answer `stop` went out.
@@ -85,6 +87,8 @@
 pub struct Leftover {
     /// The change of its chunk that holds the outcome; `clear` waits for it.
     pub change: u64,
+    /// The worker is to remember it until then, so that a late copy of its `run` finds it there.
+    pub kept_until: Time,
 }
 
 #[derive(Debug)]
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -166,6 +166,10 @@
 
 /// Names of released machines are kept as long as a list or a late report may still show them.
 const KEPT_RELEASED: Duration = Duration::from_secs(600);
+/// An attempt that was started directly stays in its worker's memory for so many of its leases after
+/// it ended, unless there are too many: reports have to stay small.
+const KEPT_LEASES: u32 = 4;
+const MAX_KEPT: usize = 200;
 /// A machine that is to be taken and was not heard after its time is gone this much later.
 const TAKEN_AFTER: Duration = Duration::from_millis(500);
 /// How often the machines are looked through for silent ones.
@@ -354,6 +358,7 @@
                     phase: BookingPhase::Ordered,
                     change: 0,
                     sent: true,
+                    direct: false,
                     answered: Tick(0),
                     stop_told: Tick(0),
                     stop,
@@ -546,9 +551,10 @@
             }
             (None, Reported::Ended) => {
                 // Its outcome is in the records already, or never mattered.
-                host.leftovers
-                    .entry((task, attempt))
-                    .or_insert(Leftover { change: 0 });
+                host.leftovers.entry((task, attempt)).or_insert(Leftover {
+                    change: 0,
+                    kept_until: now,
+                });
             }
             (None, _) => self.stray(host, task, attempt, now),
         }
@@ -578,8 +584,16 @@
                 }
             }
         }
+        let copies = host.bookings.get(&task).is_some_and(|b| b.direct);
+        let kept_for = if copies {
+            self.rules.lease * KEPT_LEASES
+        } else {
+            Duration::ZERO
+        };
         let change = self.end_booking(host, task, done, now);
-        host.leftovers.insert((task, attempt), Leftover { change });
+        let kept_until = now.after(kept_for);
+        host.leftovers
+            .insert((task, attempt), Leftover { change, kept_until });
         self.place_wanted = true;
     }
 
@@ -702,6 +716,7 @@
                 phase: BookingPhase::Present,
                 change,
                 sent: true,
+                direct: false,
                 answered: Tick(0),
                 stop_told: Tick(0),
                 stop: Some(StopWhy::Drained),
@@ -771,8 +786,13 @@
     /// What the worker should do now. In the answer to a report, `run` can't be executed late.
     fn orders(&mut self, host: &mut Host, answer_to: Option<Tick>, now: Time) -> Vec<Order> {
         let may_start = self.may_act(now);
+        let crowded = host.leftovers.len() > MAX_KEPT;
         let mut orders = Vec::new();
         for (&(task, attempt), leftover) in &host.leftovers {
+            // Cleared too soon, a late copy of its `run` would start it anew.
+            if now < leftover.kept_until && !crowded {
+                continue;
+            }
             let number = self
                 .jobs
                 .get(&task.job)
@@ -841,6 +861,9 @@
         for order in &orders {
             if let Order::Run { task, attempt } = order {
                 *host.unanswered.entry((*task, *attempt)).or_default() += 1;
+                if let Some(booking) = host.bookings.get_mut(task) {
+                    booking.direct = true;
+                }
             }
         }
         host.commanding = true;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -78,8 +78,10 @@
     spot: bool,
     whole: Resources,
     used: Resources,
-    /// Failures, leftovers or unanswered orders may speak against some tasks.
-    wary: bool,
+    /// Failures may speak against some jobs.
+    failed: bool,
+    /// Ended attempts or unanswered orders may speak against some tasks.
+    remembers: bool,
     /// Kept free for a job that has waited too long.
     held: bool,
 }
@@ -286,9 +288,8 @@
                 spot: host.spot,
                 whole,
                 used: host.used,
-                wary: !host.failed_jobs.is_empty()
-                    || !host.leftovers.is_empty()
-                    || !host.unanswered.is_empty(),
+                failed: !host.failed_jobs.is_empty(),
+                remembers: !host.leftovers.is_empty() || !host.unanswered.is_empty(),
                 held: false,
             });
         }
@@ -366,7 +367,7 @@
                 && !open.held
                 && job.need.fits(&open.free())
                 && (spec.spot || !open.spot)
-                && !(open.wary && self.failed_lately(&open.name, job.id, pass.now));
+                && !(open.failed && self.failed_lately(&open.name, job.id, pass.now));
             if eligible {
                 let alone = !holding.contains(&open.name);
                 ranked.push(open.ranked(at, alone, needs_gpu));
@@ -398,7 +399,7 @@
                 // Its siblings only get more during the pass, so it stays out.
                 continue;
             }
-            if open.wary && self.knows_of(&open.name, task) {
+            if open.remembers && self.knows_of(&open.name, task) {
                 aside.push(next);
                 continue;
             }
@@ -412,8 +413,9 @@
     /// An earlier attempt at the task is still in the machine's reports, or under way to it.
     fn knows_of(&self, name: &HostName, task: TaskId) -> bool {
         self.hosts.get(name).is_some_and(|host| {
-            host.leftovers.keys().any(|(t, _)| *t == task)
-                || host.unanswered.keys().any(|(t, _)| *t == task)
+            let attempts = (task, Attempt(0))..=(task, Attempt(u64::MAX));
+            host.leftovers.range(attempts.clone()).next().is_some()
+                || host.unanswered.range(attempts).next().is_some()
         })
     }
 
@@ -648,6 +650,7 @@
                 phase: BookingPhase::Recording,
                 change,
                 sent: false,
+                direct: false,
                 answered: Tick(0),
                 stop_told: Tick(0),
                 stop: None,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -35,6 +35,8 @@
     addr: SocketAddr,
     call: Option<CallId>,
     due: Time,
+    /// When it was last greeted, and when it was greeted that it last answered, and what.
+    greeted: Time,
     heard: Option<(Time, Hello)>,
 }
 
@@ -123,6 +125,7 @@
                 addr: p.addr,
                 call: None,
                 due: Time::default(),
+                greeted: Time::default(),
                 heard: None,
             })
             .collect();
@@ -367,29 +370,21 @@
         }
     }
 
+    /// A peer's greeting may be a late copy: of it only the term counts, which never goes back. That
+    /// a peer is there shows in its answers to our own.
     fn on_hello(&mut self, body: &[u8]) -> Response {
         match peers::decode(body) {
             Some(hello) => {
-                self.heard_peer(hello);
+                self.term_from_peer(&hello);
                 Response::new(200, peers::encode(&self.hello()))
             }
             None => Response::new(400, Vec::new()),
         }
     }
 
-    fn heard_peer(&mut self, hello: Hello) {
-        let now = self.transport.now();
-        let known = self
-            .settings
-            .peers
-            .iter()
-            .position(|p| p.name == hello.from);
-        let wish = self
-            .leadership
-            .heard_of(Term(hello.term), hello.leader.as_deref());
-        if let Some(peer) = known.and_then(|i| self.peers.get_mut(i)) {
-            peer.heard = Some((now, hello));
-        }
+    fn term_from_peer(&mut self, hello: &Hello) {
+        let term = Term(hello.term);
+        let wish = self.leadership.heard_of(term, hello.leader.as_deref());
         self.grant(wish);
     }
 
@@ -413,8 +408,10 @@
         let now = self.transport.now();
         if let Some(peer) = self.peers.iter_mut().find(|p| p.call == Some(call)) {
             peer.call = None;
-            if let Some(hello) = result.ok().and_then(|r| peers::decode(&r.body)) {
-                self.heard_peer(hello);
+            if let Some(hello) = result.ok().and_then(|r| peers::decode::<Hello>(&r.body)) {
+                // It tells how things were at some time after our greeting left.
+                peer.heard = Some((peer.greeted, hello.clone()));
+                self.term_from_peer(&hello);
             }
             return;
         }
@@ -644,6 +641,7 @@
         for peer in &mut self.peers {
             if peer.call.is_none() && now >= peer.due {
                 peer.due = now.after(HELLO_EVERY);
+                peer.greeted = now;
                 let call =
                     self.transport
                         .call(peer.addr, "POST", peers::HELLO, &hello, HELLO_LIMIT);
