--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -140,10 +140,20 @@
         }
     }
 
+    /// When [`Leadership::tick`] will have something to do, if nothing happens before. While a request
+    /// is under way only its end does, which wakes the node by itself: waiting for a moment that has
+    /// passed would be no waiting at all.
     pub fn next_wake(&self) -> Time {
         match self.role {
+            Role::Leading { .. } if self.renewing => Time(u64::MAX),
             Role::Leading { .. } => self.renewed_at.after(self.ttl / 3),
-            _ => self.next_read,
+            Role::Following => {
+                let pending = self
+                    .reading
+                    .map_or(Time::default(), |at| at.after(READ_LIMIT));
+                self.next_read.max(pending)
+            }
+            Role::Granting { .. } | Role::Claiming { .. } => Time(u64::MAX),
         }
     }
 
--- a/tests/leadership.rs
+++ b/tests/leadership.rs
@@ -214,3 +214,27 @@
     l.on_read(free(4), Time(3300), Time(3300));
     assert_eq!(l.confirmed(Time(3400)), None);
 }
+
+/// While the state service does not answer, the node waits for that or for its time limit. It once
+/// went round its event loop a hundred thousand times a second instead, which used up its share of
+/// the processor, and its workers' answers came late.
+#[test]
+fn a_request_under_way_is_waited_for() {
+    let mut l = node("n0", 1);
+    assert_eq!(l.tick(Time(1000)), Some(Wish::Read));
+    let wake = l.next_wake();
+    assert!(wake > Time(2000), "{wake:?}");
+    assert_eq!(l.tick(Time(1900)), None);
+    assert_eq!(l.tick(wake), Some(Wish::Read));
+    // Nothing is due in the midst of an election either, nor for a leader whose renewal is unanswered.
+    l.on_read(free(3), wake, wake);
+    assert!(l.next_wake() > wake);
+    l.on_outcome(Step::Grant, Outcome::Granted(LeaseId(9)), wake, wake);
+    assert!(l.next_wake() > wake);
+    let mut l = leader();
+    let now = l.next_wake();
+    assert!(matches!(l.tick(now), Some(Wish::Renew(_))));
+    assert!(l.next_wake() > now);
+    l.on_outcome(Step::Renew, Outcome::Unknown, now, Time(now.0 + 1200));
+    assert!(l.next_wake() <= Time(now.0 + 1200));
+}
