--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -597,8 +597,9 @@
     }
 
     /// All kinds that suit urgent work, if that is the only way to its deadline: it would be late if
-    /// it waited for another machine of its own kinds, and is in time if it starts now. Work of the
-    /// same or a higher priority that has no other kind keeps what is scarce.
+    /// it waited for another machine of its own kinds, and is in time if it starts now. Work that has
+    /// no other kind keeps what is scarce if it has the same or a higher priority, or has waited
+    /// for too long.
     pub(super) fn more_kinds(
         &self,
         spec: &JobSpec,
@@ -611,11 +612,15 @@
         if !hurried {
             return None;
         }
+        let starve_after_ms = self.rules.tuning.starve_after_s * 1000.0;
         let outranks = |kind: usize| {
             let mut others = self.jobs.values().filter(|j| j.waiting() > 0);
             others.all(|j| {
+                let starves = self.day_ms.saturating_sub(j.at_ms) as f64 >= starve_after_ms;
                 let other = j.spec.as_ref();
-                other.is_none_or(|o| o.priority > spec.priority || self.suited(o) != [kind])
+                other.is_none_or(|o| {
+                    o.priority > spec.priority && !starves || self.suited(o) != [kind]
+                })
             })
         };
         let more =
