--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -683,6 +683,8 @@
     fn tell(&mut self) {
         let (waiting, oldest) = self.store.backlog(self.transport.now());
         log::debug!("state service: {waiting} requests wait, the oldest for {oldest:?}");
+        let (open, most) = self.transport.sockets();
+        log::debug!("sockets: {open} of {most}");
         if let Some(office) = &self.office {
             log::info!("{}", office.controller.summary());
             let (urgent, others) = office.controller.ledger.backlog();
--- a/src/transport/event_loop.rs
+++ b/src/transport/event_loop.rs
@@ -47,6 +47,8 @@
 enum Deadline {
     Call(CallId, usize),
     Conn(ConnId),
+    /// Accepting failed, and no event will tell of the connections that wait.
+    Accept(usize),
 }
 
 /// A peer must finish a request it began, or read its response, within this time.
@@ -61,6 +63,8 @@
 /// At most this part of the sockets is kept open for calls to come: a machine costs one socket for
 /// its reports all the time, and a second one only while it is being told something.
 const KEPT_PART: usize = 8;
+/// When accepting is tried again after it failed.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
 /// Accepts at one wake-up, so that a flood can't keep other work waiting.
 const ACCEPTS: usize = 64;
 
@@ -147,6 +151,11 @@
         Ok(())
     }
 
+    /// How many sockets are open, and how many may be.
+    pub fn sockets(&self) -> (usize, usize) {
+        (self.sockets.len(), self.max_sockets)
+    }
+
     pub fn happened(&mut self) -> Option<Happening> {
         self.happened.pop_front()
     }
@@ -187,6 +196,8 @@
                 Err(e) => {
                     log::debug!("accept: {e}");
                     self.make_room();
+                    let again = self.now().after(ACCEPT_AGAIN);
+                    self.deadlines.set(again, Deadline::Accept(slot));
                     return;
                 }
             }
@@ -310,6 +321,7 @@
 
     fn expired(&mut self, deadline: Deadline, now: Time) {
         match deadline {
+            Deadline::Accept(slot) => self.accept(slot),
             Deadline::Call(call, slot) => {
                 let Some(Socket::Client(conn)) = self.sockets.get_mut(slot) else {
                     return;
