--- a/tests/service.rs
+++ b/tests/service.rs
@@ -4,8 +4,8 @@
 
 use ciborium::Value;
 use lichencrank::protocol::encode;
-use standin::{call, eventually, map, text, World};
-use std::collections::BTreeMap;
+use standin::{call, eventually, map, number, text, World};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::Ordering;
@@ -281,3 +281,44 @@
     let (ok, told) = run(&["--check", "--config", "/nonexistent/settings.json"]);
     assert!(!ok && told.contains("/nonexistent/settings.json") && told.trim().lines().count() == 1);
 }
+
+/// Copies of messages come late, however long ago the first of them was carried out: every
+/// transaction so far is sent to the state service again, and users' requests are repeated. Nothing
+/// that is over comes back, what runs goes on to its end, and no attempt starts twice.
+#[test]
+fn late_copies_change_nothing() {
+    let world = World::start("copies");
+    let fronts: Vec<SocketAddr> = world.nodes.iter().map(|n| n.front).collect();
+    submit(fronts[0], "job-000030", 6);
+    finish(fronts[0], "job-000030");
+    submit(fronts[1], "job-000031", 5000);
+    let withdraw = || {
+        eventually("the withdrawal is answered", || {
+            let (status, body) = call(fronts[1], "POST", "/api/jobs/job-000031/withdraw", &[])?;
+            (status == 200).then(|| text(&body, "status"))
+        })
+    };
+    assert_eq!(withdraw(), "cancelled");
+    submit(fronts[2], "job-000032", 40);
+    for _ in 0..3 {
+        let (status, copies) = call(world.state, "POST", "/copies", &[]).expect("an answer");
+        let (all, again) = (number(&copies, "all"), number(&copies, "again"));
+        assert_eq!(status, 200);
+        // What is carried out again only removes what is gone, or keeps the machine types.
+        assert!(all > 6 && again < all, "{again} of {all}");
+        for (id, state) in [("job-000030", "done"), ("job-000031", "cancelled")] {
+            for front in &fronts {
+                let told = eventually("an answer", || {
+                    poll(*front, id).filter(|(s, _)| *s != 503 && *s != 429)
+                });
+                assert_eq!(told, (200, state.to_owned()), "{id}");
+                assert_eq!(submit(*front, id, 6), 200, "{id} again");
+            }
+        }
+        assert_eq!(withdraw(), "cancelled");
+    }
+    finish(fronts[2], "job-000032");
+    let starts = world.starts.lock().expect("the starts");
+    let attempts: BTreeSet<_> = starts.iter().map(|s| (&s.0, s.1)).collect();
+    assert_eq!(attempts.len(), starts.len());
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -137,6 +137,8 @@
     keys: BTreeMap<String, (Value, u64, u64)>,
     leases: BTreeMap<u64, (Duration, Instant)>,
     changes: Vec<(u64, String, Option<Value>)>,
+    /// Every transaction that was carried out.
+    carried_out: Vec<Value>,
 }
 
 impl State {
@@ -286,7 +288,21 @@
         let mut state = lock(&state);
         state.expire();
         match (method, path) {
-            ("POST", "/txn") => state.txn(body),
+            ("POST", "/txn") => {
+                let answer = state.txn(body);
+                if answer.0 == 200 {
+                    state.carried_out.push(body.clone());
+                }
+                answer
+            }
+            // Late copies of all that was carried out so far.
+            ("POST", "/copies") => {
+                let copies = state.carried_out.clone();
+                let statuses = copies.iter().map(|copy| state.txn(copy).0);
+                let again = statuses.filter(|status| *status == 200).count() as u64;
+                let all = copies.len() as u64;
+                (200, map(vec![("all", all.into()), ("again", again.into())]))
+            }
             ("POST", "/grants") => {
                 let lease = state.leases.keys().last().map_or(1, |l| l + 1);
                 let ttl = Duration::from_millis(number(body, "ttlMs"));
@@ -563,6 +579,7 @@
     pub nodes: Vec<Node>,
     pub starts: Starts,
     pub state_away: Arc<AtomicBool>,
+    pub state: SocketAddr,
 }
 
 /// An address for a node. Each has a loopback host of its own: on 127.0.0.1 a port that is free
@@ -618,6 +635,7 @@
             nodes,
             starts,
             state_away,
+            state,
         }
     }
 }
