--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -612,7 +612,8 @@
         if !hurried {
             return None;
         }
-        let starve_after_ms = self.rules.tuning.starve_after_s * 1000.0;
+        // As with late work, which gives way no longer after twice that time.
+        let starve_after_ms = self.rules.tuning.starve_after_s * 2000.0;
         let outranks = |kind: usize| {
             let mut others = self.jobs.values().filter(|j| j.waiting() > 0);
             others.all(|j| {
