--- /dev/null
+++ b/src/coordination/orders.rs
@@ -0,0 +1,174 @@
+//! What a machine is told: in the answer to its report, or by a command of its own.
+
+use super::hosts::{BookingPhase, Ear, Host, Life, StopWhy};
+use super::jobs::JobPhase;
+use super::{Action, CommandResult, Controller, Deposed};
+use crate::protocol::workers::Order;
+use crate::types::{HostName, Session, Tick, Time};
+
+/// More ended attempts than this are cleared at once, as reports have to stay small.
+const MAX_KEPT: usize = 200;
+
+impl Controller {
+    /// What the worker should do now. In the answer to a report, `run` can't be executed late.
+    pub(super) fn orders(
+        &mut self,
+        host: &mut Host,
+        answer_to: Option<Tick>,
+        now: Time,
+    ) -> Vec<Order> {
+        let may_start = self.may_act(now);
+        let crowded = host.leftovers.len() > MAX_KEPT;
+        let mut orders = Vec::new();
+        for (&(task, attempt), leftover) in &host.leftovers {
+            // Cleared too soon, a late copy of its `run` would start it anew.
+            if now < leftover.kept_until && !crowded {
+                continue;
+            }
+            let number = self
+                .jobs
+                .get(&task.job)
+                .map(|j| (j, j.chunk_of(task.index)));
+            let written = number
+                .and_then(|(job, number)| job.chunk(number))
+                .is_none_or(|chunk| chunk.written >= leftover.change);
+            let finishing = self
+                .jobs
+                .get(&task.job)
+                .is_some_and(|j| j.phase == JobPhase::Finishing);
+            let fenced = host.token == self.term && !host.is_unanswered(task, attempt);
+            if written && !finishing && fenced {
+                orders.push(Order::Clear { task, attempt });
+            }
+        }
+        let jobs = &self.jobs;
+        for (&task, booking) in &mut host.bookings {
+            let attempt = booking.attempt;
+            match (booking.stop, booking.phase) {
+                (Some(why), BookingPhase::Present) if !booking.saving => {
+                    let spec = jobs.get(&task.job).and_then(|j| j.spec.as_ref());
+                    let saves = why != StopWhy::Withdrawn;
+                    let grace_s = spec
+                        .filter(|s| saves && s.checkpoint_s.0 > 0.0)
+                        .map_or(0.0, |s| s.save_s.0 * 1.2 + 1.0);
+                    if let Some(tick) = answer_to {
+                        booking.stop_told = tick;
+                    }
+                    orders.push(Order::Stop {
+                        task,
+                        attempt,
+                        grace_s,
+                    });
+                }
+                (None, BookingPhase::Ordered) if booking.session == host.session && may_start => {
+                    booking.sent = true;
+                    if let Some(tick) = answer_to {
+                        booking.answered = tick;
+                    }
+                    orders.push(Order::Run { task, attempt });
+                }
+                _ => {}
+            }
+        }
+        orders
+    }
+
+    /// Sends a worker its orders directly, so that a start need not wait for the next report.
+    pub(super) fn command(&mut self, host: &mut Host, now: Time) {
+        let fresh = now.since(host.heard_at) <= self.rules.report.mul_f64(1.6);
+        let ready = host.life == Life::Up && fresh && !host.commanding && host.ear == Ear::Open;
+        let (true, Some(to)) = (ready, host.address) else {
+            return;
+        };
+        if self.commanding >= self.rules.commands {
+            self.to_command.push_back(host.name.clone());
+            return;
+        }
+        let mut orders = self.orders(host, None, now);
+        orders.retain(|o| !matches!(o, Order::Clear { .. }));
+        if orders.is_empty() {
+            return;
+        }
+        self.commanding += 1;
+        for order in &orders {
+            if let Order::Run { task, attempt } = order {
+                *host.unanswered.entry((*task, *attempt)).or_default() += 1;
+                if let Some(booking) = host.bookings.get_mut(task) {
+                    booking.direct = true;
+                }
+            }
+        }
+        host.commanding = true;
+        let (host, session) = (host.name.clone(), host.session);
+        self.actions.push(Action::Command {
+            host,
+            to,
+            session,
+            orders,
+        });
+    }
+
+    pub fn on_commanded(
+        &mut self,
+        name: &HostName,
+        session: Session,
+        orders: &[Order],
+        result: CommandResult,
+        now: Time,
+    ) -> Result<(), Deposed> {
+        if orders.is_empty() {
+            self.probing = self.probing.saturating_sub(1);
+        } else {
+            self.commanding = self.commanding.saturating_sub(1);
+        }
+        let taken_in = self.commanded(name, session, orders, result, now);
+        self.command_next(now);
+        taken_in
+    }
+
+    /// Commands that waited for others to end go out, in their order.
+    fn command_next(&mut self, now: Time) {
+        while self.commanding < self.rules.commands {
+            let Some(name) = self.to_command.pop_front() else {
+                return;
+            };
+            if let Some(mut host) = self.hosts.remove(&name) {
+                self.command(&mut host, now);
+                self.hosts.insert(name, host);
+            }
+        }
+    }
+
+    fn commanded(
+        &mut self,
+        name: &HostName,
+        session: Session,
+        orders: &[Order],
+        result: CommandResult,
+        now: Time,
+    ) -> Result<(), Deposed> {
+        let Some(host) = self.hosts.get_mut(name) else {
+            return Ok(());
+        };
+        host.commanding = false;
+        let lost = matches!(result, CommandResult::Lost);
+        if host.session == session && !lost {
+            for order in orders {
+                if let Order::Run { task, attempt } = order {
+                    host.answered(*task, *attempt);
+                }
+            }
+        }
+        match result {
+            CommandResult::Report(report) => {
+                self.take_in(&report, false, now)?;
+            }
+            // A silent machine is silent to probes too, which says nothing new.
+            CommandResult::NotSent | CommandResult::Lost if host.life == Life::Up => {
+                host.ignored(now);
+            }
+            CommandResult::NotSent | CommandResult::Lost | CommandResult::HeldBack => {}
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/coordination/reports.rs
@@ -0,0 +1,417 @@
+//! What workers report, and what that proves of machines and bookings.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::hosts::{Booking, BookingPhase, Cordon, Ear, Host, Leftover, Life, StopWhy};
+use super::jobs::{Job, JobPhase, TaskState};
+use super::{Controller, Deposed, Phase};
+use crate::protocol::users::JobSpec;
+use crate::protocol::workers::{Cause, Order, Report, TaskReport, TaskState as Reported};
+use crate::types::{seconds, Attempt, Session, TaskId, Tick, Time};
+
+const LEARN_KEEP: f64 = 0.98;
+/// An attempt that was started directly stays in its worker's memory for so many of its leases after
+/// it ended.
+const KEPT_LEASES: u32 = 4;
+
+impl Controller {
+    /// Takes in a worker's own report and returns the orders for it.
+    pub fn on_report(&mut self, report: &Report, now: Time) -> Result<Vec<Order>, Deposed> {
+        self.take_in(report, true, now)
+    }
+
+    pub(super) fn take_in(
+        &mut self,
+        report: &Report,
+        own: bool,
+        now: Time,
+    ) -> Result<Vec<Order>, Deposed> {
+        if report.token > self.term {
+            return Err(Deposed(report.token));
+        }
+        if self.phase == Phase::Loading || self.released.contains_key(&report.host) {
+            // The token alone keeps the worker's lease alive while the records are read.
+            return Ok(Vec::new());
+        }
+        let name = report.host.clone();
+        if report.token < self.term {
+            if let Some(mut host) = self.hosts.remove(&name) {
+                self.unfenced(&mut host, report, own, now);
+                self.hosts.insert(name, host);
+            }
+            return Ok(Vec::new());
+        }
+        let mut host = self
+            .hosts
+            .remove(&name)
+            .unwrap_or_else(|| Host::new(name.clone(), now));
+        let orders = if host.is_news(report) {
+            self.update(&mut host, report, own, now);
+            if own {
+                self.orders(&mut host, Some(report.tick), now)
+            } else {
+                Vec::new()
+            }
+        } else {
+            log::debug!("{name}: late report {}/{}", report.session, report.tick);
+            Vec::new()
+        };
+        self.hosts.insert(name, host);
+        Ok(orders)
+    }
+
+    /// A report made before its worker saw our token may be a late copy from long ago, even from
+    /// a machine that is gone by now. It proves nothing, not even that there is such a machine; the
+    /// answer carries the token, and the next report counts.
+    fn unfenced(&mut self, host: &mut Host, report: &Report, own: bool, now: Time) {
+        self.describe(host, report);
+        let at = (report.session, report.tick);
+        if at > host.unfenced {
+            // It was told the token before, and has not taken it in.
+            if own && host.unfenced != (Session(0), Tick(0)) {
+                host.ignored(now);
+            }
+            host.unfenced = at;
+            if !own {
+                // A probe for the wrong session was turned down; now the right one is known.
+                host.probe_at = now;
+            }
+        }
+    }
+
+    /// What does not change in a machine's life.
+    fn describe(&self, host: &mut Host, report: &Report) {
+        if host.kind.is_none() || host.zone.is_empty() {
+            host.kind = self.types.iter().position(|t| t.name == report.kind);
+            host.zone = report.zone.clone();
+            host.spot = report.spot;
+        }
+        host.address = report.address.parse().ok();
+    }
+
+    fn update(&mut self, host: &mut Host, report: &Report, own: bool, now: Time) {
+        // Heard of before in this term: a report after a silence may have been under way for long.
+        let back = host.up_at.is_some() && host.life == Life::Silent;
+        if host.up_at.is_none() {
+            host.up_at = Some(now);
+            host.idle_since = host.bookings.is_empty().then_some(now);
+        }
+        self.describe(host, report);
+        let before = host.ear;
+        if host.token < report.token || !own {
+            host.heeded();
+        } else if back {
+            host.listen(Ear::Doubted);
+            host.probe_at = now;
+        } else if host.ear == Ear::Doubted {
+            host.listen(Ear::Open);
+        }
+        self.place_wanted |= host.ear != before;
+        host.token = report.token;
+        host.heard_at = now;
+        if host.life != Life::Up {
+            host.enter(Life::Up);
+            if host.cordon == Some(Cordon::Lost) && host.life == Life::Up {
+                host.cordon = None;
+            }
+            self.place_wanted = true;
+        }
+        if report.session > host.session {
+            self.new_session(host, report.session, own, now);
+        }
+        host.tick = report.tick;
+        for reported in &report.tasks {
+            self.reported(host, reported, now);
+        }
+        self.absent(host, report, own, now);
+        if let Some(notice) = report.notice_s {
+            self.noticed(host, seconds(notice.0), now);
+        }
+    }
+
+    /// The worker killed and forgot all that earlier sessions held.
+    fn new_session(&mut self, host: &mut Host, session: Session, own: bool, now: Time) {
+        let heard = now.since(host.heard_at) < self.rules.report * 2;
+        if own && heard && host.session != Session(0) && host.life == Life::Up {
+            // Its lease ran out although its reports were answered.
+            host.ignored(now);
+        }
+        let old: Vec<TaskId> = host
+            .bookings
+            .iter()
+            .filter(|(_, b)| b.session < session)
+            .map(|(t, _)| *t)
+            .collect();
+        if !old.is_empty() {
+            log::info!("{}: session {session}, {} tasks lost", host.name, old.len());
+        }
+        for task in old {
+            self.end_booking(host, task, false, now);
+        }
+        host.session = session;
+        host.leftovers.clear();
+        host.unanswered.clear();
+        self.place_wanted = true;
+    }
+
+    fn reported(&mut self, host: &mut Host, reported: &TaskReport, now: Time) {
+        let TaskReport {
+            task,
+            attempt,
+            state,
+            ..
+        } = *reported;
+        let ours = host
+            .bookings
+            .get_mut(&task)
+            .filter(|b| b.attempt == attempt);
+        match (ours, state) {
+            (Some(_), Reported::Ended) => self.ended(host, reported, now),
+            (Some(booking), _) => {
+                let told = booking.phase == BookingPhase::Ordered && booking.answered != Tick(0);
+                booking.seen(reported, now);
+                if told {
+                    host.heeded();
+                }
+            }
+            (None, Reported::Ended) => {
+                // Its outcome is in the records already, or never mattered.
+                host.leftovers.entry((task, attempt)).or_insert(Leftover {
+                    change: 0,
+                    kept_until: now,
+                });
+            }
+            (None, _) => self.stray(host, task, attempt, now),
+        }
+    }
+
+    fn ended(&mut self, host: &mut Host, reported: &TaskReport, now: Time) {
+        let TaskReport {
+            task,
+            attempt,
+            cause,
+            ..
+        } = *reported;
+        let done = cause == Some(Cause::Done);
+        match cause {
+            Some(Cause::Done) => {
+                let started = host.bookings.get(&task).and_then(|b| b.started);
+                self.learn(task, started.map(|s| now.since(s).as_secs_f64()));
+                host.failures = 0;
+                host.failed_jobs.clear();
+            }
+            Some(Cause::Stopped) => {}
+            Some(Cause::Error) => self.task_failed(host, task, now),
+            _ => {
+                log::info!("{}: {task} attempt {attempt} refused: {cause:?}", host.name);
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.not_before = now.after(Duration::from_secs(1));
+                }
+            }
+        }
+        let copies = host.bookings.get(&task).is_some_and(|b| b.direct);
+        let kept_for = if copies {
+            self.rules.lease * KEPT_LEASES
+        } else {
+            Duration::ZERO
+        };
+        let change = self.end_booking(host, task, done, now);
+        let kept_until = now.after(kept_for);
+        host.leftovers
+            .insert((task, attempt), Leftover { change, kept_until });
+        self.place_wanted = true;
+    }
+
+    /// Owners' guesses are often wrong, and some days all in the same direction.
+    fn learn(&mut self, task: TaskId, ran: Option<f64>) {
+        let spec = self.jobs.get(&task.job).and_then(|j| j.spec.as_ref());
+        let (Some(spec), Some(ran)) = (spec, ran) else {
+            return;
+        };
+        let (sum, guessed) = self.runs.entry(spec.class.clone()).or_default();
+        // Older runs fade, so that a new day is noticed.
+        *sum = *sum * LEARN_KEEP + ran;
+        *guessed = *guessed * LEARN_KEEP + spec.estimate_s.0;
+    }
+
+    /// How long a task of the job is likely to run.
+    pub(super) fn expected_run(&self, job: &Job) -> f64 {
+        let expected = match &job.spec {
+            Some(spec) => self.expected_run_of(spec),
+            None => job.estimate(),
+        };
+        // The job's own finished tasks tell more than any guess.
+        let (own, count) = job.ran;
+        (expected + own) / (1.0 + count)
+    }
+
+    /// How long a task of such a job is likely to run, by its owner's guess and the class's runs.
+    pub(super) fn expected_run_of(&self, spec: &JobSpec) -> f64 {
+        let (ran, guessed) = self.runs.get(&spec.class).copied().unwrap_or_default();
+        let estimate = spec.estimate_s.0.max(1.0);
+        // A few guesses taken at their word keep the first runs from deciding alone.
+        let prior = estimate * 4.0;
+        estimate * ((ran + prior) / (guessed + prior)).clamp(0.4, 2.5)
+    }
+
+    /// How much longer a running task will take. One past its time shows that the guess was bad.
+    pub(super) fn expected_rest(&self, job: &Job, started: Option<Time>, now: Time) -> f64 {
+        let run = self.expected_run(job);
+        let ran = started.map_or(0.0, |s| now.since(s).as_secs_f64());
+        (run - ran).max(ran * 0.25).max(1.0)
+    }
+
+    /// Ends a booking that is proven to have ended, and returns the change that holds the outcome.
+    pub(super) fn end_booking(
+        &mut self,
+        host: &mut Host,
+        task: TaskId,
+        done: bool,
+        now: Time,
+    ) -> u64 {
+        let Some(booking) = host.unbook(task, now) else {
+            return 0;
+        };
+        self.place_wanted = true;
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return 0;
+        };
+        if let Some(used) = self.used.get_mut(&job.team) {
+            used.remove(&booking.need);
+        }
+        let state = if done {
+            TaskState::Done
+        } else {
+            TaskState::Waiting {
+                last: booking.attempt,
+            }
+        };
+        let mut change = 0;
+        if let Some(number) = job.set_task(task.index, state) {
+            change = job.chunk(number).map_or(0, |c| c.changes);
+            self.ledger.changed(task.job, number, false);
+        }
+        self.settle(task.job, now);
+        change
+    }
+
+    fn task_failed(&mut self, host: &mut Host, task: TaskId, now: Time) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        job.failed(&host.name, now);
+        host.failed_jobs.insert(task.job, now);
+        if job.suspect() {
+            // It fails everywhere: that says nothing about this machine.
+            return;
+        }
+        host.failures += 1;
+        let proven = job.done > 0 || job.failed_on.len() == 1 && host.failures >= 3;
+        log::info!("{}: {task} failed, {} in a row", host.name, host.failures);
+        if host.failed_jobs.len() >= 2 || (proven && host.failures >= 2) {
+            log::info!("{}: fails what it is given", host.name);
+            host.cordon(Cordon::Sick);
+        }
+    }
+
+    /// A task that the records don't place here. Book before run leaves no honest way to this,
+    /// so it is stopped; until it has ended, it is not started elsewhere.
+    fn stray(&mut self, host: &mut Host, task: TaskId, attempt: Attempt, now: Time) {
+        log::warn!("{}: {task} attempt {attempt} is not booked here", host.name);
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let free =
+            matches!(job.task(task.index), Some(TaskState::Waiting { last }) if *last <= attempt);
+        if job.phase != JobPhase::Active || !free || host.bookings.contains_key(&task) {
+            return;
+        }
+        let (session, need) = (host.session, job.need);
+        let state = TaskState::Booked {
+            host: host.name.clone(),
+            attempt,
+            session,
+        };
+        let Some(number) = job.set_task(task.index, state) else {
+            return;
+        };
+        let change = job.chunk(number).map_or(0, |c| c.changes);
+        self.ledger.changed(task.job, number, true);
+        self.used.entry(job.team.clone()).or_default().add(&need);
+        host.book(
+            task,
+            Booking {
+                attempt,
+                session,
+                need,
+                phase: BookingPhase::Present,
+                change,
+                sent: true,
+                direct: false,
+                answered: Tick(0),
+                stop_told: Tick(0),
+                stop: Some(StopWhy::Drained),
+                saving: false,
+                fetching: false,
+                since: now,
+                started: None,
+            },
+        );
+    }
+
+    /// Looks at what the report lacks.
+    fn absent(&mut self, host: &mut Host, report: &Report, own: bool, now: Time) {
+        let listed: BTreeSet<(TaskId, Attempt)> =
+            report.tasks.iter().map(|t| (t.task, t.attempt)).collect();
+        host.leftovers.retain(|key, _| listed.contains(key));
+        let missing: Vec<TaskId> = host
+            .bookings
+            .iter()
+            .filter(|(task, b)| !listed.contains(&(**task, b.attempt)))
+            .map(|(task, _)| *task)
+            .collect();
+        // Only what was in the answer to an older report should show by now.
+        let told = |b: &Booking| b.stop_told != Tick(0) && report.tick > b.stop_told;
+        let running = |b: &Booking| b.phase == BookingPhase::Present && !b.saving;
+        let mut stops = host.bookings.values().filter(|b| b.stop.is_some());
+        let mut unseen = own && stops.any(|b| told(b) && running(b));
+        for task in missing {
+            let Some(booking) = host.bookings.get(&task) else {
+                continue;
+            };
+            // One that is still wanted is ordered again under the same attempt, which is safe.
+            let wanted = booking.stop.is_none() && booking.phase != BookingPhase::Present;
+            if wanted {
+                unseen |= own && booking.answered != Tick(0) && report.tick > booking.answered;
+                continue;
+            }
+            let (token, tick) = (report.token, report.tick);
+            if host.proves_absence(task, booking, token, self.term, tick, own) {
+                self.end_booking(host, task, false, now);
+            }
+        }
+        if unseen {
+            host.ignored(now);
+        }
+    }
+
+    /// The cloud will take the machine: what can't end in time is moved now.
+    fn noticed(&mut self, host: &mut Host, left: Duration, now: Time) {
+        if host.gone_by.is_some() {
+            return;
+        }
+        host.gone_by = Some(now.after(left));
+        host.cordon(Cordon::Notice);
+        self.place_wanted = true;
+        for (task, booking) in &mut host.bookings {
+            let Some(job) = self.jobs.get(&task.job) else {
+                continue;
+            };
+            let rest = self.expected_rest(job, booking.started, now);
+            if rest > left.as_secs_f64() && booking.stop.is_none() {
+                booking.stop = Some(StopWhy::Drained);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/watch.rs
@@ -0,0 +1,151 @@
+//! Silence: which machines are cut off, broken or gone, and what is done about it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::hosts::{Cordon, Ear, Host, Life, StopWhy};
+use super::{Action, Controller};
+use crate::types::{seconds, Time};
+
+/// A machine that is to be taken and was not heard after its time is gone this much later.
+const TAKEN_AFTER: Duration = Duration::from_millis(500);
+
+impl Controller {
+    pub(super) fn watch_hosts(&mut self, now: Time, may_act: bool) {
+        let limit = self.rules.silent_limit();
+        // In a cut the first machine is past the limit while the others are merely late: all that
+        // missed a report count, or each would be given up alone, one after the other.
+        let late = self.rules.report.mul_f64(1.8);
+        let mut by_zone: BTreeMap<String, (usize, usize)> = BTreeMap::new();
+        let mut everywhere = (0, 0);
+        for host in self.hosts.values_mut() {
+            if host.life == Life::Up && now.since(host.heard_at) > limit {
+                log::info!("{}: silent", host.name);
+                host.enter(Life::Silent);
+            }
+            if matches!(host.life, Life::Up | Life::Silent) {
+                let deaf = matches!(host.ear, Ear::Deaf { .. });
+                let gone = usize::from(deaf || now.since(host.heard_at) > late);
+                let (silent, all) = by_zone.entry(host.zone.clone()).or_default();
+                *all += 1;
+                *silent += gone;
+                everywhere.0 += gone;
+                everywhere.1 += 1;
+            }
+        }
+        // Of machines that only the records of an earlier leader name the zone is not known. They are
+        // all silent, but no zone of their own: that would look like a cut for ever.
+        by_zone.insert(String::new(), everywhere);
+        if !may_act {
+            return;
+        }
+        self.probe(now);
+        let mut give_up = Vec::new();
+        for host in self.hosts.values() {
+            if host.life == Life::Releasing {
+                continue;
+            }
+            if self.host_is_lost(host, &by_zone, now) || self.holds_a_cancelled_task(host, now) {
+                give_up.push((host.name.clone(), Cordon::Lost));
+            } else if host.cordon == Some(Cordon::Sick) {
+                give_up.push((host.name.clone(), Cordon::Sick));
+            }
+        }
+        for (name, why) in give_up {
+            if let Some(host) = self.hosts.get_mut(&name) {
+                log::info!(
+                    "{name}: given up, {:?}, {} booked",
+                    host.life,
+                    host.bookings.len()
+                );
+                host.cordon(why);
+                host.enter(Life::Releasing);
+                self.fleet.release(name);
+            }
+        }
+    }
+
+    /// Asks machines whether they hear: those that seem not to, and those that are silent here. The
+    /// latter may still report to an earlier leader that is cut off with them; the command carries
+    /// our token, and from then on they drop the answers of the other, who learns of it from them.
+    fn probe(&mut self, now: Time) {
+        let patience = self.rules.report.mul_f64(1.5);
+        for host in self.hosts.values_mut() {
+            if self.probing >= self.rules.probes {
+                return;
+            }
+            let wanted = match host.life {
+                Life::Up => host.ear != Ear::Open,
+                Life::Silent => now.since(host.heard_at) > patience,
+                Life::Expected => host
+                    .running_since
+                    .is_some_and(|at| now.since(at) > patience),
+                Life::Releasing => false,
+            };
+            let due = wanted && now >= host.probe_at && !host.commanding;
+            let (true, Some(to)) = (due, host.address) else {
+                continue;
+            };
+            host.probe_at = now.after(self.rules.report * 2);
+            host.commanding = true;
+            self.probing += 1;
+            let session = host.session.max(host.unfenced.0);
+            let host = host.name.clone();
+            self.actions.push(Action::Command {
+                host,
+                to,
+                session,
+                orders: Vec::new(),
+            });
+        }
+    }
+
+    fn host_is_lost(
+        &self,
+        host: &Host,
+        by_zone: &BTreeMap<String, (usize, usize)>,
+        now: Time,
+    ) -> bool {
+        let limit = self.rules.silent_limit();
+        let silent_for = now.since(host.heard_at);
+        // Many at once are cut off rather than broken: they come back, later.
+        let (silent, all) = by_zone.get(&host.zone).copied().unwrap_or_default();
+        let cut = silent >= 3 && silent * 2 > all || self.unheard_zones.contains(&host.zone);
+        let taken = host.gone_by.is_some_and(|by| now.since(by) > TAKEN_AFTER);
+        match (host.life, host.ear) {
+            // The cloud has taken it, as it said it would.
+            (Life::Up | Life::Silent, _) if taken && host.gone_by > Some(host.heard_at) => true,
+            // No longer in the list, and silent for longer than reports take.
+            (Life::Up | Life::Silent, _) if host.unlisted => {
+                silent_for > self.rules.report.mul_f64(1.3)
+            }
+            (Life::Silent, _) => silent_for > if cut { self.rules.lease * 3 } else { limit },
+            // Its tasks end with its lease, unless it hears again before.
+            (Life::Up, Ear::Deaf { since }) => {
+                let patience = if cut { 3 } else { 1 };
+                now.since(since) > self.rules.lease * patience + limit
+            }
+            (Life::Expected, _) => {
+                let kind = host.kind.and_then(|k| self.types.get(k));
+                let boot = kind.map_or(60.0, |t| t.boot_s.0);
+                let overdue =
+                    now.since(host.rented_at) > seconds(boot * self.rules.tuning.boot_patience);
+                let said_running = host.running_since.is_some_and(|at| now.since(at) > limit);
+                // A new leader finds machines that are long up: they get their time to report.
+                now.since(host.known_at) > limit && (overdue || said_running)
+            }
+            (Life::Up | Life::Releasing, _) => false,
+        }
+    }
+
+    /// A cancelled job's task sits on a machine that doesn't answer, and the time runs out.
+    fn holds_a_cancelled_task(&self, host: &Host, now: Time) -> bool {
+        let heard = now.since(host.heard_at) <= self.rules.report * 2 && host.ear == Ear::Open;
+        host.bookings.iter().any(|(task, booking)| {
+            let withdrawn_at = self.jobs.get(&task.job).and_then(|j| j.withdrawn_at);
+            let share = if heard { 0.55 } else { 0.25 };
+            booking.stop == Some(StopWhy::Withdrawn)
+                && withdrawn_at.is_some_and(|at| now.since(at) > self.rules.cancel.mul_f64(share))
+        })
+    }
+}
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -322,3 +322,30 @@
     let attempts: BTreeSet<_> = starts.iter().map(|s| (&s.0, s.1)).collect();
     assert_eq!(attempts.len(), starts.len());
 }
+
+/// While leaders are killed and come back, bad input is told from good: malformed is 400 at once, a
+/// known job is known whatever its new body says, and what can't be taken now is not called wrong.
+#[test]
+fn bad_input_is_told_during_take_overs() {
+    let mut world = World::start("bad");
+    let front = world.nodes[2].front;
+    submit(front, "job-000040", 200);
+    for round in 0..12 {
+        if round % 4 == 0 {
+            for node in &mut world.nodes[..2] {
+                node.kill();
+                node.start();
+            }
+        }
+        let malformed = call(front, "POST", "/api/jobs", b"not a map").expect("an answer");
+        assert_eq!(malformed.0, 400);
+        let known = call(front, "POST", "/api/jobs", &job("job-000040", 0)).expect("an answer");
+        assert!(matches!(known.0, 200 | 429 | 503), "{known:?}");
+        let wrong = call(front, "POST", "/api/jobs", &job("job-000041", 0)).expect("an answer");
+        assert!(matches!(wrong.0, 400 | 429 | 503), "{wrong:?}");
+    }
+    let told = eventually("an answer", || {
+        poll(front, "job-000041").filter(|(s, _)| *s != 503 && *s != 429)
+    });
+    assert_eq!(told.0, 404);
+}
