--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -10,6 +10,8 @@
     level: f64,
     last: Time,
     closed_until: Time,
+    /// All that was ever spent, to tell others how much that is in a second.
+    spent: f64,
 }
 
 impl Budget {
@@ -21,9 +23,20 @@
             level: burst,
             last: Time::default(),
             closed_until: Time::default(),
+            spent: 0.0,
         }
     }
 
+    /// The others spend more or less than before.
+    pub fn set_rate(&mut self, now: Time, rate: f64) {
+        self.refill(now);
+        self.rate = rate;
+    }
+
+    pub fn spent(&self) -> f64 {
+        self.spent
+    }
+
     fn refill(&mut self, now: Time) {
         let gained = now.since(self.last).as_secs_f64() * self.rate;
         self.level = (self.level + gained).min(self.burst);
@@ -49,6 +62,7 @@
     pub fn spend(&mut self, now: Time, amount: f64) {
         self.refill(now);
         self.level -= amount;
+        self.spent += amount;
     }
 
     /// The other side says that it is too much: others spend from the same budget.
@@ -57,3 +71,11 @@
         self.level = self.level.min(0.0);
     }
 }
+
+/// What a node may spend a second of a budget that all nodes share: what the others leave of it, by
+/// their own word, and its even share at the least. If all want more than that, each hears of the
+/// others' wants and comes down to the even share.
+pub fn share_of(total: f64, nodes: usize, others: f64) -> f64 {
+    let even = total / nodes.max(1) as f64;
+    (total - others).max(even)
+}
--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -4,10 +4,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use super::records::{self, OverRecord};
+use super::records::{self, FinalRecord};
 use crate::coordination::jobs::{Chunk, Job, JobPhase};
 use crate::protocol::state::{value, Change, Txn};
-use crate::protocol::users::JobState;
 use crate::types::{JobId, Stamp, Time};
 
 pub type Jobs = BTreeMap<JobId, Job>;
@@ -18,6 +17,7 @@
     txn: Txn,
     chunks: Vec<(JobId, u32, u64)>,
     finished: Vec<JobId>,
+    moved: Vec<JobId>,
     swept: Vec<(JobId, u32)>,
 }
 
@@ -51,8 +51,6 @@
 
 /// What a transaction may hold at the most, with room to spare for its own framing.
 const MAX_BYTES: usize = 44 * 1024;
-/// A finished job takes its first run records along; the rest are swept up later.
-const SWEPT_AT_ONCE: usize = 4;
 
 pub struct Ledger {
     holder: Stamp,
@@ -130,17 +128,28 @@
             || matches!(self.flight, Flight::Repeat(_))
     }
 
+    /// Records that something waits for.
+    pub fn urgent(&self) -> usize {
+        self.urgent.len() + self.finishing.len()
+    }
+
+    /// Whether the record is among those that something waits for.
+    pub fn is_urgent(&self, job: JobId, chunk: u32) -> bool {
+        self.queued.get(&(job, chunk)) == Some(&true)
+    }
+
     /// Records that wait to be written: those that something waits for, and the others.
     pub fn backlog(&self) -> (usize, usize) {
-        (self.urgent.len() + self.finishing.len(), self.normal.len())
+        (self.urgent(), self.normal.len())
     }
 
     pub fn is_idle(&self) -> bool {
         !matches!(self.flight, Flight::Sent(_))
     }
 
-    /// Puts together the next transaction of at most `max_changes`, if there is one to send.
-    pub fn next_batch(&mut self, jobs: &mut Jobs, max_changes: usize) -> Option<Txn> {
+    /// Puts together the next transaction of at most `max_changes`, if there is one to send. What
+    /// nothing waits for goes along if the budget has some to spare.
+    pub fn next_batch(&mut self, jobs: &mut Jobs, max_changes: usize, spare: bool) -> Option<Txn> {
         match std::mem::replace(&mut self.flight, Flight::Idle) {
             Flight::Sent(batch) => {
                 self.flight = Flight::Sent(batch);
@@ -158,13 +167,17 @@
             txn: Txn::default(),
             chunks: Vec::new(),
             finished: Vec::new(),
+            moved: Vec::new(),
             swept: Vec::new(),
         };
         batch.txn.require(records::HOLDER.to_owned(), self.holder);
         let mut bytes = 0;
         self.add_finished(jobs, max_changes, &mut batch, &mut bytes);
-        self.add_chunks(jobs, max_changes, &mut batch, &mut bytes);
-        self.add_swept(jobs, max_changes, &mut batch);
+        self.sort_urgent(jobs);
+        self.add_chunks(jobs, max_changes, spare, &mut batch, &mut bytes);
+        if spare {
+            self.add_swept(jobs, max_changes, &mut batch);
+        }
         if batch.txn.changes.is_empty() {
             return None;
         }
@@ -179,42 +192,45 @@
                 self.finishing.remove(&id);
                 continue;
             };
-            if batch.txn.changes.len() + 3 > max || *bytes > MAX_BYTES {
+            if batch.txn.changes.len() + 1 > max || *bytes > MAX_BYTES {
                 return;
             }
             self.finishing.remove(&id);
-            let over = OverRecord {
-                state: JobState::Done,
-                tasks: u64::from(job.total),
-            };
+            let over = job.outcome();
             batch.txn.require(records::live_key(id), job.live);
-            batch
-                .txn
-                .changes
-                .push(Change::delete(records::live_key(id)));
-            batch
-                .txn
-                .changes
-                .push(Change::put(records::over_key(id), value(&over)));
+            let record = value(&FinalRecord { over });
+            let change = Change::put(records::live_key(id), record);
+            batch.txn.changes.push(change);
             *bytes += 200;
-            for number in 0..job.chunks.len().min(SWEPT_AT_ONCE) as u32 {
-                if batch.txn.changes.len() < max {
-                    batch
-                        .txn
-                        .changes
-                        .push(Change::delete(records::run_key(id, number)));
-                    batch.swept.push((id, number));
-                }
-            }
             batch.finished.push(id);
         }
     }
 
-    fn add_chunks(&mut self, jobs: &Jobs, max: usize, batch: &mut Batch, bytes: &mut usize) {
+    /// What waits longest goes first, so that nothing waits without end; then work of the highest
+    /// priority, as starts wait for these records.
+    fn sort_urgent(&mut self, jobs: &Jobs) {
+        let waiting = self.urgent.make_contiguous();
+        if let Some((_, others)) = waiting.split_first_mut() {
+            others.sort_by_key(|(id, _)| jobs.get(id).map(Job::priority));
+        }
+    }
+
+    fn add_chunks(
+        &mut self,
+        jobs: &Jobs,
+        max: usize,
+        spare: bool,
+        batch: &mut Batch,
+        bytes: &mut usize,
+    ) {
         let mut later = Vec::new();
         while batch.txn.changes.len() < max && *bytes < MAX_BYTES {
-            let Some((id, number)) = self.urgent.pop_front().or_else(|| self.normal.pop_front())
-            else {
+            let urgent = self.urgent.pop_front();
+            let next = match urgent {
+                None if spare => self.normal.pop_front(),
+                other => other,
+            };
+            let Some((id, number)) = next else {
                 break;
             };
             let Some(urgent) = self.queued.remove(&(id, number)) else {
@@ -273,6 +289,17 @@
                 self.sweeping.remove(&id);
                 continue;
             };
+            if job.to_move.is_some() && !batch.moved.contains(&id) {
+                if batch.txn.changes.len() + 2 > max {
+                    return;
+                }
+                let over = job.to_move;
+                batch.txn.require(records::live_key(id), job.live);
+                let gone = Change::delete(records::live_key(id));
+                let kept = Change::put(records::over_key(id), value(&over));
+                batch.txn.changes.extend([gone, kept]);
+                batch.moved.push(id);
+            }
             for (number, chunk) in job.chunks.iter().enumerate() {
                 let number = number as u32;
                 let known = chunk
@@ -312,8 +339,14 @@
                 *slot = None;
             }
         }
+        for id in batch.moved {
+            if let Some(job) = jobs.get_mut(&id) {
+                job.to_move = None;
+            }
+        }
         for id in batch.finished {
             if let Some(job) = jobs.get_mut(&id) {
+                job.finished(revision);
                 job.enter(JobPhase::Sweeping, now);
                 self.sweeping.insert(id);
                 written.finished.push(id);
@@ -327,7 +360,10 @@
         let swept = |id: &JobId| {
             jobs.get(id).is_none_or(|j| {
                 let unwritten = |c: &Chunk| c.stamp == Stamp(0) && !c.unsure;
-                j.phase == JobPhase::Sweeping && j.chunks.iter().flatten().all(|c| unwritten(c))
+                let moved = j.to_move.is_none();
+                j.phase == JobPhase::Sweeping
+                    && moved
+                    && j.chunks.iter().flatten().all(|c| unwritten(c))
             })
         };
         let gone: Vec<JobId> = self.sweeping.iter().copied().filter(swept).collect();
@@ -348,6 +384,12 @@
         let mut withdrawn = Vec::new();
         for key in failed {
             if let Some(id) = records::parse_live(key) {
+                if batch.moved.contains(&id) {
+                    // Only we move these: an earlier transaction, thought lost, was carried out.
+                    if let Some(job) = jobs.get_mut(&id) {
+                        job.to_move = None;
+                    }
+                }
                 withdrawn.push(id);
             } else if let Some((id, number)) = records::parse_run(key) {
                 // Only we write these: an earlier transaction, thought lost, was carried out.
@@ -366,6 +408,7 @@
             self.changed(id, number, true);
         }
         self.finishing.extend(batch.finished);
+        self.sweeping.extend(batch.moved);
         self.sweeping.extend(batch.swept.iter().map(|(id, _)| *id));
     }
 
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -2,12 +2,13 @@
 //!
 //! | key | holds |
 //! | --- | --- |
-//! | `live/<job>` | an accepted job that is neither done nor cancelled |
+//! | `live/<job>` | an accepted job that is neither done nor cancelled, or got done a while ago |
 //! | `run/<job>/<chunk>` | bookings, attempts and finished tasks of one run of tasks |
 //! | `over/<job>` | the final state, for ever |
 //! | `lead/holder`, `lead/term` | who leads, and the highest term |
 //! | `types` | the machine types as last seen |
 
+use ciborium::Value;
 use serde::{Deserialize, Serialize};
 
 use crate::protocol::users::{JobSpec, JobState};
@@ -56,6 +57,21 @@
     pub tasks: u64,
 }
 
+/// A job that got done, until its record is moved from `live/` to `over/`: that takes more changes,
+/// and can wait until the budget has some to spare.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct FinalRecord {
+    pub over: OverRecord,
+}
+
+/// The final state, if this is the record of a job that is over.
+pub fn over_in_place(value: &Value) -> Option<OverRecord> {
+    let fields = value.as_map()?;
+    let is_over = |(key, _): &&(Value, Value)| key.as_text() == Some("over");
+    let (_, over) = fields.iter().find(is_over)?;
+    over.deserialized().ok()
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HolderRecord {
     pub node: String,
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -52,6 +52,8 @@
     TooOld,
     /// Surely not carried out; again later.
     Refused,
+    /// Surely not carried out, as the budget does not suffice: the service itself is well.
+    Busy,
     /// May have been carried out, or may yet be.
     Unknown,
     /// Refused for what it says; repeating it is of no use.
@@ -102,6 +104,8 @@
 
 /// One of so many requests is a read, if any waits.
 const READ_EVERY: u32 = 4;
+/// Above this share of the request budget there is some to spare.
+const SPARE: f64 = 0.5;
 /// A 429 means that the nodes together spend too much.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -121,6 +125,21 @@
         }
     }
 
+    /// What was spent so far: requests and changes.
+    pub fn spent(&self) -> (f64, f64) {
+        (self.requests.spent(), self.writes.spent())
+    }
+
+    pub fn set_rates(&mut self, now: Time, rps: f64, write_rps: f64) {
+        self.requests.set_rate(now, rps);
+        self.writes.set_rate(now, write_rps);
+    }
+
+    /// Whether requests that can wait may go out beside the others.
+    pub fn has_spare(&mut self, now: Time) -> bool {
+        self.requests.share(now) > SPARE && self.queues.values().all(VecDeque::is_empty)
+    }
+
     /// Queues a request. `limit` is how long an answer is awaited once it is sent; what can't be
     /// sent within that time is refused.
     pub fn ask(&mut self, now: Time, class: Class, ask: Ask, limit: Duration) -> AskId {
@@ -300,7 +319,7 @@
                 log::debug!("state service: over the budget");
                 self.requests.back_off(now, PAUSE);
                 self.writes.back_off(now, PAUSE);
-                Ok(Outcome::Refused)
+                Ok(Outcome::Busy)
             }
             (503, _) => Ok(Outcome::Refused),
             (400, _) => {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -9,7 +9,7 @@
 use super::placement::{self, capacity};
 use super::{Action, Controller};
 use crate::protocol::cloud::{ListedHost, ListedStatus, Rental, MAX_RELEASE, MAX_RENTAL};
-use crate::protocol::users::JobSpec;
+use crate::protocol::users::{JobSpec, Priority};
 use crate::types::{seconds, HostName, Term, Time};
 
 /// A type, a zone, and whether it is a spot machine.
@@ -798,7 +798,9 @@
             let mut zones = self.types[kind].zones.iter();
             *usable && zones.any(|z| !self.is_closed(&(kind, z.clone(), true), now))
         });
-        let ordinary = !spec.spot || (!spot_left && outlook.start > ORDINARY_AFTER_S);
+        // Work of the lowest priority is there to use what is cheap.
+        let worth = spec.priority != Priority::Low;
+        let ordinary = !spec.spot || (worth && !spot_left && outlook.start > ORDINARY_AFTER_S);
         let mut best: Option<(f64, Market)> = None;
         for (kind, t) in self.types.iter().enumerate().filter(|(k, _)| usable[*k]) {
             let fits = need.times_in(&capacity(t)).max(1);
--- a/src/coordination/hosts.rs
+++ b/src/coordination/hosts.rs
@@ -127,6 +127,8 @@
     pub unfenced: (Session, Tick),
     /// No probe goes there before.
     pub probe_at: Time,
+    /// When it was last asked for to be taken back in a hurry.
+    pub removed_at: Option<Time>,
     /// The cloud's list has named it, and the last one doesn't any more.
     pub listed: bool,
     pub unlisted: bool,
@@ -167,6 +169,7 @@
             unheeded: 0,
             unfenced: (Session(0), Tick(0)),
             probe_at: now,
+            removed_at: None,
             listed: false,
             unlisted: false,
             running_since: None,
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use crate::bookkeeping::records::{ChunkRecord, JobRecord};
-use crate::protocol::users::JobSpec;
+use crate::bookkeeping::records::{ChunkRecord, JobRecord, OverRecord};
+use crate::protocol::users::{JobSpec, JobState, Priority};
 use crate::types::{Attempt, HostName, JobId, Session, Stamp, Time};
 
 /// What a task takes of its machine.
@@ -123,6 +123,8 @@
     pub failures: u32,
     pub failed_on: BTreeSet<HostName>,
     pub withdrawn_at: Option<Time>,
+    /// It got done, and its final record still stands in the place of its description.
+    pub to_move: Option<OverRecord>,
 }
 
 impl Job {
@@ -153,6 +155,7 @@
             failures: 0,
             failed_on: BTreeSet::new(),
             withdrawn_at: None,
+            to_move: None,
             spec: Some(Box::new(spec)),
         }
     }
@@ -183,9 +186,38 @@
             failures: 0,
             failed_on: BTreeSet::new(),
             withdrawn_at: Some(now),
+            to_move: None,
         }
     }
 
+    /// A job that got done under an earlier leader, whose records are not swept up yet.
+    pub fn done_before(id: JobId, over: OverRecord, live: Stamp, now: Time) -> Job {
+        let mut job = Job::orphan(id, &ChunkRecord::default(), now);
+        job.phase = JobPhase::Sweeping;
+        job.withdrawn_at = None;
+        job.live = live;
+        job.to_move = Some(over);
+        job
+    }
+
+    /// What its final record says.
+    pub fn outcome(&self) -> OverRecord {
+        OverRecord {
+            state: JobState::Done,
+            tasks: u64::from(self.total),
+        }
+    }
+
+    /// Its final record is written, at that version.
+    pub fn finished(&mut self, live: Stamp) {
+        self.live = live;
+        self.to_move = Some(self.outcome());
+    }
+
+    pub fn priority(&self) -> Priority {
+        self.spec.as_ref().map_or(Priority::Normal, |s| s.priority)
+    }
+
     /// The one place where a job changes its phase.
     pub fn enter(&mut self, phase: JobPhase, now: Time) {
         log::debug!("{}: {:?} -> {phase:?}", self.id, self.phase);
@@ -203,6 +235,9 @@
         stamp: Stamp,
     ) -> Vec<(u32, Attempt, HostName, Session)> {
         let at = number as usize;
+        if self.spec.is_none() {
+            self.chunk_size = record.size.max(1);
+        }
         if self.spec.is_none() && at >= self.chunks.len() && at < 100_000 {
             self.chunks.resize_with(at + 1, || None);
         }
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -29,7 +29,8 @@
     Read,
     Grant,
     Claim,
-    Renew,
+    /// Of this lease: an answer may come when the office was lost and won again.
+    Renew(LeaseId),
     End,
 }
 
@@ -67,6 +68,8 @@
 /// What the state service said of the leader counts for this long.
 const FRESH: Duration = Duration::from_millis(1500);
 const READ_LIMIT: Duration = Duration::from_millis(1500);
+/// A renewal that was refused, or got no answer, is tried again after this.
+const RENEW_AGAIN: Duration = Duration::from_millis(200);
 
 pub struct Leadership {
     node: String,
@@ -77,7 +80,8 @@
     pub term: Term,
     pub leader: Option<String>,
     valid_until: Time,
-    renewed_at: Time,
+    /// When the lease is to be renewed next.
+    renew_at: Time,
     renewing: bool,
     next_read: Time,
     reading: Option<Time>,
@@ -101,7 +105,7 @@
             term: Term(0),
             leader: None,
             valid_until: Time::default(),
-            renewed_at: Time::default(),
+            renew_at: Time::default(),
             renewing: false,
             next_read: Time::default(),
             reading: None,
@@ -146,7 +150,7 @@
     pub fn next_wake(&self) -> Time {
         match self.role {
             Role::Leading { .. } if self.renewing => Time(u64::MAX),
-            Role::Leading { .. } => self.renewed_at.after(self.ttl / 3),
+            Role::Leading { .. } => self.renew_at,
             Role::Following => {
                 let pending = self
                     .reading
@@ -160,11 +164,11 @@
     pub fn tick(&mut self, now: Time) -> Option<Wish> {
         match self.role {
             Role::Leading { lease, .. } => {
-                if self.renewing || now < self.renewed_at.after(self.ttl / 3) {
+                if self.renewing || now < self.renew_at {
                     return None;
                 }
                 self.renewing = true;
-                self.renewed_at = now;
+                self.renew_at = now.after(self.ttl / 3);
                 Some(Wish::Renew(lease))
             }
             Role::Following => {
@@ -226,6 +230,8 @@
     /// Proof came that another leads.
     pub fn step_down(&mut self) -> Wish {
         self.enter(Role::Following);
+        // A read under way may still show our key; what the lease was good for ended here.
+        self.valid_until = Time::default();
         if self.leader.as_deref() == Some(&self.node) {
             self.leader = None;
         }
@@ -292,7 +298,7 @@
         self.enter(Role::Leading { lease, term, stamp });
         // A renewal at once: the time of the grant is not known for sure any more.
         self.renewing = false;
-        self.renewed_at = Time::default();
+        self.renew_at = Time::default();
         self.valid_until = self.valid_until.max(now);
         Wish::Lead { term, stamp }
     }
@@ -327,7 +333,7 @@
                 self.schedule_read(now);
                 None
             }
-            (Step::Renew, Role::Leading { .. }, outcome) => {
+            (Step::Renew(of), Role::Leading { lease, .. }, outcome) if of == *lease => {
                 self.renewing = false;
                 match outcome {
                     Outcome::Extended => {
@@ -335,7 +341,11 @@
                         None
                     }
                     Outcome::LeaseGone => Some(self.step_down()),
-                    _ => None,
+                    _ => {
+                        // Three refusals in a row must not cost the office: it is asked again soon.
+                        self.renew_at = self.renew_at.min(now.after(RENEW_AGAIN));
+                        None
+                    }
                 }
             }
             _ => None,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use crate::bookkeeping::ledger::{Jobs, Ledger, Verdict, Written};
-use crate::bookkeeping::records::{ChunkRecord, JobRecord};
+use crate::bookkeeping::records::{ChunkRecord, JobRecord, OverRecord};
 use crate::protocol::cloud::{MachineType, Rental};
 use crate::protocol::state::Txn;
 use crate::protocol::workers::{Order, Report};
@@ -37,6 +37,9 @@
     },
     Rent(Rental),
     Release(Vec<HostName>),
+    /// The same, and so pressing that it goes out without a lease too: these machines hold cancelled
+    /// work whose time is nearly up. Another leader could lose no more by it than a machine.
+    Remove(Vec<HostName>),
 }
 
 /// How a direct command ended.
@@ -81,6 +84,9 @@
     pub probes: usize,
     /// Direct commands that may be under way at once, for the same reason; the others wait.
     pub commands: usize,
+    /// Records of the lowest priority that may wait for being written; each higher one may have as
+    /// many again. What is booked beyond that would only hold machines idle.
+    pub records: usize,
     pub teams: Vec<Team>,
     pub tuning: Tuning,
 }
@@ -95,6 +101,7 @@
             chunk_size: crate::bookkeeping::records::chunk_size(service.state.value_kb),
             probes: (service.resources.sockets / 20).max(2),
             commands: (service.resources.sockets / 16).max(4),
+            records: (service.state.write_rps / 2.0).max(4.0) as usize,
             teams: service.teams.clone(),
             tuning: tuning.clone(),
         }
@@ -144,6 +151,8 @@
     /// Machines whose release the cloud confirmed lately, and when: late reports and the lagging
     /// list may still speak of them.
     released: BTreeMap<HostName, Time>,
+    /// Jobs that are cancelled by a node's word.
+    cancelled: BTreeMap<JobId, Time>,
     /// Probes on their way, and other direct commands.
     probing: usize,
     commanding: usize,
@@ -174,6 +183,8 @@
 const PLACE_EVERY: Duration = Duration::from_secs(1);
 /// Machines that have reported get work after this part of the first report round.
 const EARLY_PART: u32 = 4;
+/// Cancelled jobs remembered by a node's word.
+const MAX_CANCELLED: usize = 2000;
 /// A failure on a machine keeps the job's tasks away from it for this long.
 const AVOID: Duration = Duration::from_secs(20);
 
@@ -198,6 +209,7 @@
             unheard_zones: Vec::new(),
             used: BTreeMap::new(),
             released: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
             probing: 0,
             commanding: 0,
             to_command: VecDeque::new(),
@@ -261,6 +273,30 @@
         self.fleet.arrived(at, &record.spec);
         self.jobs.insert(id, Job::new(record, live));
         self.place_wanted = true;
+        if self.cancelled.contains_key(&id) {
+            // This was read before it was cancelled.
+            self.on_job_gone(id, self.now);
+        }
+    }
+
+    /// A job that got done under an earlier leader, with its final record where its description was.
+    pub fn on_done_before(&mut self, id: JobId, over: OverRecord, live: Stamp) {
+        let now = self.now;
+        self.jobs
+            .entry(id)
+            .or_insert_with(|| Job::done_before(id, over, live, now));
+        self.ledger.sweep(id);
+    }
+
+    /// Some node told its user that the job is cancelled. The record that says so may not reach this
+    /// one for long, if the state service does not answer it.
+    pub fn on_cancelled(&mut self, id: JobId, now: Time) {
+        if self.cancelled.insert(id, now).is_none() {
+            self.on_job_gone(id, now);
+        }
+        while self.cancelled.len() > MAX_CANCELLED {
+            self.cancelled.pop_first();
+        }
     }
 
     /// Its record is gone: cancelled by its user, unless it was this leader that finished it.
@@ -390,11 +426,11 @@
 
     // ---- records
 
-    pub fn next_batch(&mut self, max_changes: usize) -> Option<Txn> {
+    pub fn next_batch(&mut self, max_changes: usize, spare: bool) -> Option<Txn> {
         if self.phase == Phase::Loading {
             return None;
         }
-        self.ledger.next_batch(&mut self.jobs, max_changes)
+        self.ledger.next_batch(&mut self.jobs, max_changes, spare)
     }
 
     pub fn on_verdict(&mut self, verdict: Verdict, now: Time) -> Result<(), Deposed> {
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -25,17 +25,12 @@
             if now < leftover.kept_until && !crowded {
                 continue;
             }
-            let number = self
-                .jobs
-                .get(&task.job)
-                .map(|j| (j, j.chunk_of(task.index)));
-            let written = number
-                .and_then(|(job, number)| job.chunk(number))
-                .is_none_or(|chunk| chunk.written >= leftover.change);
-            let finishing = self
-                .jobs
-                .get(&task.job)
-                .is_some_and(|j| j.phase == JobPhase::Finishing);
+            let job = self.jobs.get(&task.job);
+            // Once its job is over in the records, nothing more is written of the task.
+            let over = job.is_none_or(|j| j.phase == JobPhase::Sweeping);
+            let chunk = job.and_then(|j| j.chunk(j.chunk_of(task.index)));
+            let written = over || chunk.is_none_or(|c| c.written >= leftover.change);
+            let finishing = job.is_some_and(|j| j.phase == JobPhase::Finishing);
             let fenced = host.token == self.term && !host.is_unanswered(task, attempt);
             if written && !finishing && fenced {
                 orders.push(Order::Clear { task, attempt });
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -20,6 +20,8 @@
 const PREEMPT_EVERY: Duration = Duration::from_millis(250);
 /// Tasks booked in one pass; the rest waits for the next, so that a pass never takes long.
 const MAX_BOOKINGS: u64 = 400;
+/// Jobs that waited too long and go before all others at one time.
+const MAX_LIFTED: usize = 8;
 const MEMORY_WEIGHT: f64 = 25.0;
 const CPU_WEIGHT: f64 = 25.0;
 const GPU_WEIGHT: f64 = 20.0;
@@ -146,6 +148,9 @@
     pub late: bool,
     /// When it is due, in milliseconds of the day; those without a deadline come last.
     pub due: u64,
+    /// For work of the lowest priority that is due at no time: about how much is left to do, in
+    /// powers of two, so that what is done soon does not wait for what takes for ever.
+    pub work: u32,
     pub arrival: Stamp,
     pub id: JobId,
 }
@@ -159,6 +164,7 @@
             priority: Priority::Critical,
             late: false,
             due: 0,
+            work: 0,
             ..self
         }
     }
@@ -177,6 +183,7 @@
         by_arrival.sort_by_key(|j| j.live);
         let mut claimed: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
         let mut ranks = Vec::new();
+        let mut lifted = 0;
         for job in by_arrival {
             let Some(spec) = &job.spec else { continue };
             let guaranteed = self
@@ -200,20 +207,29 @@
                     late: waited < starve_after * 2
                         && job.is_late(self.expected_run(job), cpus, self.day_ms),
                     due: job.due_ms().map_or(u64::MAX, |due| due as u64),
+                    work: self.work_class(job, spec),
                     arrival: job.live,
                     id: job.id,
                 };
-                ranks.push(if aged && !begun {
-                    rank.starving()
-                } else {
-                    rank
-                });
+                // A few at a time, the oldest first: in bulk they would pass all urgent work.
+                let starving = aged && !begun && lifted < MAX_LIFTED;
+                lifted += usize::from(starving);
+                ranks.push(if starving { rank.starving() } else { rank });
             }
         }
         ranks.sort();
         ranks
     }
 
+    fn work_class(&self, job: &Job, spec: &JobSpec) -> u32 {
+        if spec.priority != Priority::Low || spec.deadline_s.is_some() {
+            return 0;
+        }
+        let open = f64::from(job.total - job.done);
+        let work = open * job.need.cpus.max(0.1) * self.expected_run(job);
+        work.max(1.0).log2() as u32
+    }
+
     /// CPUs of all machines that are here or coming.
     fn cpus_to_be(&self) -> f64 {
         let here = self
@@ -304,6 +320,7 @@
         scarce: &[bool],
         pass: &mut Pass,
     ) {
+        let records = self.rules.records * (1 + Priority::Low as usize - spec.priority as usize);
         if pass.now < job.not_before {
             return;
         }
@@ -324,6 +341,11 @@
                 return;
             };
             let task = TaskId { job: job.id, index };
+            // A booking that waits long for its record would only hold the machine idle.
+            let queued = self.ledger.is_urgent(job.id, job.chunk_of(index));
+            if !queued && self.ledger.urgent() >= records {
+                return;
+            }
             let Some(best) = self.best_host(spec, task, &mut ranked, &siblings, pass) else {
                 if let Some(more) = more.take() {
                     usable = more;
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -30,10 +30,14 @@
         if report.token > self.term {
             return Err(Deposed(report.token));
         }
-        if self.phase == Phase::Loading || self.released.contains_key(&report.host) {
-            // The token alone keeps the worker's lease alive while the records are read.
+        if self.released.contains_key(&report.host) {
             return Ok(Vec::new());
         }
+        if self.phase == Phase::Loading {
+            // The token alone keeps the worker's lease alive while the records are read. That may
+            // take longer than cancelled work has.
+            return Ok(self.stop_cancelled(report));
+        }
         let name = report.host.clone();
         if report.token < self.term {
             if let Some(mut host) = self.hosts.remove(&name) {
@@ -61,6 +65,19 @@
         Ok(orders)
     }
 
+    /// Stops for what the report shows of jobs that are known to be cancelled.
+    fn stop_cancelled(&self, report: &Report) -> Vec<Order> {
+        let there = report.tasks.iter().filter(|t| t.state != Reported::Ended);
+        there
+            .filter(|t| self.cancelled.contains_key(&t.task.job))
+            .map(|t| Order::Stop {
+                task: t.task,
+                attempt: t.attempt,
+                grace_s: 0.0,
+            })
+            .collect()
+    }
+
     /// A report made before its worker saw our token may be a late copy from long ago, even from
     /// a machine that is gone by now. It proves nothing, not even that there is such a machine; the
     /// answer carries the token, and the next report counts.
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -5,10 +5,15 @@
 
 use super::hosts::{Cordon, Ear, Host, Life, StopWhy};
 use super::{Action, Controller};
-use crate::types::{seconds, Time};
+use crate::protocol::cloud::MAX_RELEASE;
+use crate::types::{seconds, HostName, Time};
 
 /// A machine that is to be taken and was not heard after its time is gone this much later.
 const TAKEN_AFTER: Duration = Duration::from_millis(500);
+/// Cancelled work that is still there after this part of its time goes with its machine.
+const OVERDUE_PART: f64 = 0.62;
+/// The cloud is asked for that again after this.
+const REMOVE_AGAIN: Duration = Duration::from_secs(2);
 
 impl Controller {
     pub(super) fn watch_hosts(&mut self, now: Time, may_act: bool) {
@@ -36,6 +41,7 @@
         // Of machines that only the records of an earlier leader name the zone is not known. They are
         // all silent, but no zone of their own: that would look like a cut for ever.
         by_zone.insert(String::new(), everywhere);
+        self.remove_overdue(now);
         if !may_act {
             return;
         }
@@ -65,6 +71,36 @@
         }
     }
 
+    /// Cancelled work whose time is nearly up goes with its machine, whether or not this leader has
+    /// its lease: in an outage nobody else could do it.
+    fn remove_overdue(&mut self, now: Time) {
+        let limit = self.rules.cancel.mul_f64(OVERDUE_PART);
+        let overdue = |host: &&Host| {
+            let asked = host
+                .removed_at
+                .is_some_and(|at| now.since(at) < REMOVE_AGAIN);
+            !asked
+                && host.bookings.iter().any(|(task, booking)| {
+                    let withdrawn_at = self.jobs.get(&task.job).and_then(|j| j.withdrawn_at);
+                    booking.stop == Some(StopWhy::Withdrawn)
+                        && withdrawn_at.is_some_and(|at| now.since(at) > limit)
+                })
+        };
+        let hosts = self.hosts.values().filter(overdue);
+        let names: Vec<HostName> = hosts.map(|h| h.name.clone()).collect();
+        for name in &names {
+            if let Some(host) = self.hosts.get_mut(name) {
+                log::info!("{name}: holds cancelled work for too long, returned");
+                host.cordon(Cordon::Lost);
+                host.enter(Life::Releasing);
+                host.removed_at = Some(now);
+            }
+        }
+        for names in names.chunks(MAX_RELEASE as usize) {
+            self.actions.push(Action::Remove(names.to_vec()));
+        }
+    }
+
     /// Asks machines whether they hear: those that seem not to, and those that are silent here. The
     /// latter may still report to an earlier leader that is cut off with them; the command carries
     /// our token, and from then on they drop the answers of the other, who learns of it from them.
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -1,16 +1,16 @@
 //! Users' requests. Every node answers them from the state service: submissions and cancellations
 //! are conditional writes, answers are consistent reads, so no node gives an older answer.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
-use crate::bookkeeping::records::{self, ChunkRecord, JobRecord, OverRecord};
+use crate::bookkeeping::records::{self, parse_live, ChunkRecord, JobRecord, OverRecord};
 use crate::bookkeeping::store::{Ask, Class, Outcome};
 use crate::coordination::placement;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::encode;
 use crate::protocol::peers::{self, Relay, Relayed};
-use crate::protocol::state::{value, Change, Txn};
+use crate::protocol::state::{value, Change, Condition, Txn};
 use crate::protocol::users::{self, JobSpec, JobState, JobStatus, Problem, Submission};
 use crate::settings::Team;
 use crate::transport::{ConnId, Response};
@@ -23,6 +23,12 @@
 const ASK_LIMIT: Duration = Duration::from_millis(450);
 /// More at once than this are told to come back.
 const MAX_OPEN: usize = 400;
+/// Counts are shown for so long before they are read again, if the budget has some to spare.
+const COUNTS_FOR: Duration = Duration::from_millis(2500);
+/// Jobs that are not over whose versions are kept in memory.
+const MAX_KNOWN: usize = 10_000;
+/// A request is asked again, as the budget did not suffice, only with so much time left for it.
+const WORTH_ASKING: Duration = Duration::from_millis(100);
 /// Final states kept in memory.
 const MAX_CACHED: usize = 20_000;
 /// The most bytes of submissions in one transaction.
@@ -54,10 +60,10 @@
 enum Stage {
     /// Waits for the next shared transaction, or is in one.
     Queued,
+    /// Waits for the next shared comparison, or is in one.
+    Comparing,
     ReadingLive,
-    ReadingCounts {
-        live: Stamp,
-    },
+    ReadingCounts,
     ReadingOver,
     Withdrawing,
     /// Another node, which the state service answers, has been asked.
@@ -77,6 +83,16 @@
 pub enum FrontAsk {
     One(FrontId),
     Batch(Vec<FrontId>),
+    Comparison(Vec<FrontId>),
+}
+
+/// What this node last read of a job that was not over. That alone is no answer, as it grows old;
+/// but one comparison shows of many jobs at once whether they still stand as they were read.
+struct Known {
+    live: Stamp,
+    /// Finished and running tasks, for display.
+    counts: (u64, u64),
+    counted: Time,
 }
 
 /// What the front needs done.
@@ -94,13 +110,20 @@
     open: BTreeMap<FrontId, Open>,
     queue: VecDeque<FrontId>,
     in_flight: bool,
+    /// Polls that wait for the next comparison, and whether one is under way.
+    comparisons: VecDeque<FrontId>,
+    comparing: bool,
+    known: HashMap<JobId, Known>,
     finals: HashMap<JobId, OverRecord>,
     finals_order: VecDeque<JobId>,
     chunk_size: u32,
     max_value: usize,
     max_jobs: usize,
+    max_compared: usize,
     teams: Vec<Team>,
     acts: Vec<FrontAct>,
+    /// Jobs that users were told are cancelled, for the other nodes to know.
+    cancelled: Vec<JobId>,
 }
 
 fn problem(status: u16, error: &str) -> Response {
@@ -119,16 +142,26 @@
             open: BTreeMap::new(),
             queue: VecDeque::new(),
             in_flight: false,
+            comparisons: VecDeque::new(),
+            comparing: false,
+            known: HashMap::new(),
             finals: HashMap::new(),
             finals_order: VecDeque::new(),
             chunk_size: records::chunk_size(value_kb),
             max_value: (value_kb * 1024.0) as usize,
             max_jobs: txn_ops.min(8),
+            // Conditions may be four times as many as changes.
+            max_compared: (txn_ops * 4).min(256),
             teams,
             acts: Vec::new(),
+            cancelled: Vec::new(),
         }
     }
 
+    pub fn take_cancelled(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.cancelled)
+    }
+
     pub fn take_acts(&mut self) -> Vec<FrontAct> {
         std::mem::take(&mut self.acts)
     }
@@ -164,6 +197,7 @@
     }
 
     fn remember(&mut self, id: JobId, over: OverRecord) {
+        self.known.remove(&id);
         if self.finals.insert(id, over).is_none() {
             self.finals_order.push_back(id);
         }
@@ -174,6 +208,24 @@
         }
     }
 
+    /// A job that was not over at that version of its record.
+    fn know(&mut self, id: JobId, live: Stamp) {
+        let counts = (0, 0);
+        let counted = Time::default();
+        if self.known.len() >= MAX_KNOWN {
+            // Whichever goes is read anew when it is asked about.
+            if let Some(other) = self.known.keys().next().copied() {
+                self.known.remove(&other);
+            }
+        }
+        let known = self.known.entry(id).or_insert(Known {
+            live,
+            counts,
+            counted,
+        });
+        known.live = live;
+    }
+
     // ---- requests
 
     pub fn submit(
@@ -278,11 +330,14 @@
                 until,
             },
         );
-        if submits {
-            self.queue.push_back(id);
+        let stage = if submits {
+            Stage::Queued
+        } else if limit == POLL_LIMIT && self.known.contains_key(&job) {
+            Stage::Comparing
         } else {
-            self.enter(id, Stage::ReadingLive);
-        }
+            Stage::ReadingLive
+        };
+        self.enter(id, stage);
     }
 
     /// The one place where a request changes its stage; each reading stage sends its read.
@@ -299,18 +354,38 @@
         };
         let ask = match &open.stage {
             Stage::ReadingLive => Ask::Get(records::live_key(job)),
-            Stage::ReadingCounts { .. } => Ask::Get(records::run_key(job, 0)),
+            Stage::ReadingCounts => Ask::Get(records::run_key(job, 0)),
             Stage::ReadingOver => Ask::Get(records::over_key(job)),
             Stage::Queued => {
                 self.queue.push_back(id);
                 return;
             }
+            Stage::Comparing => {
+                self.comparisons.push_back(id);
+                return;
+            }
             Stage::Withdrawing | Stage::Relaying => return,
         };
         self.acts
             .push(FrontAct::Ask(class, ask, ASK_LIMIT, FrontAsk::One(id)));
     }
 
+    /// The budget did not suffice: the same again, while there is time.
+    fn again(&mut self, id: FrontId, now: Time) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        if open.until.since(now) < WORTH_ASKING {
+            return self.finish(id, unavailable());
+        }
+        let stage = match open.stage {
+            // What was withdrawn needs the version of its record.
+            Stage::Withdrawing => Stage::ReadingLive,
+            ref other => other.clone(),
+        };
+        self.enter(id, stage);
+    }
+
     /// The state service does not answer this node; perhaps it answers another.
     fn relay(&mut self, id: FrontId) {
         let Some(open) = self.open.get(&id) else {
@@ -353,10 +428,55 @@
         }
     }
 
-    // ---- the shared transaction
+    // ---- the shared transactions
 
     /// Sends what waits, once the transaction before is answered.
     pub fn pump(&mut self) {
+        self.submit_all();
+        self.compare_all();
+    }
+
+    /// One transaction that changes nothing tells of many jobs whether they stand as they were read.
+    /// It begins after the questions arrived, so no answer is older than it may be.
+    fn compare_all(&mut self) {
+        if self.comparing || self.comparisons.is_empty() {
+            return;
+        }
+        let mut txn = Txn::default();
+        let mut compared = BTreeSet::new();
+        let mut ids = Vec::new();
+        for id in std::mem::take(&mut self.comparisons) {
+            let Some(open) = self.open.get(&id) else {
+                continue;
+            };
+            let job = open.job;
+            let Some(known) = self.known.get(&job) else {
+                self.enter(id, Stage::ReadingLive);
+                continue;
+            };
+            if !compared.contains(&job) {
+                if compared.len() >= self.max_compared {
+                    self.comparisons.push_back(id);
+                    continue;
+                }
+                compared.insert(job);
+                let (key, stamp) = (records::live_key(job), known.live);
+                txn.conditions.push(Condition { key, stamp });
+            }
+            ids.push(id);
+        }
+        if !ids.is_empty() {
+            self.comparing = true;
+            self.acts.push(FrontAct::Ask(
+                Class::Read,
+                Ask::Txn(txn),
+                ASK_LIMIT,
+                FrontAsk::Comparison(ids),
+            ));
+        }
+    }
+
+    fn submit_all(&mut self) {
         if self.in_flight || self.queue.is_empty() {
             return;
         }
@@ -404,10 +524,18 @@
 
     // ---- outcomes
 
-    pub fn on_outcome(&mut self, ask: FrontAsk, outcome: Outcome, counts: Counts, now: Time) {
+    /// `spare` says that the budget allows to look closer than has to be.
+    pub fn on_outcome(
+        &mut self,
+        ask: FrontAsk,
+        outcome: Outcome,
+        counts: Counts,
+        spare: bool,
+        now: Time,
+    ) {
         // What lay here while this process stood still is an old answer; nobody gets it any more.
         let asked = match &ask {
-            FrontAsk::Batch(ids) => &ids[..],
+            FrontAsk::Batch(ids) | FrontAsk::Comparison(ids) => &ids[..],
             FrontAsk::One(id) => std::slice::from_ref(id),
         };
         for id in asked {
@@ -416,12 +544,60 @@
             }
         }
         match ask {
-            FrontAsk::Batch(ids) => self.on_batch(ids, outcome),
-            FrontAsk::One(id) => self.on_one(id, outcome, counts),
+            FrontAsk::Batch(ids) => self.on_batch(ids, outcome, now),
+            FrontAsk::One(id) => self.on_one(id, outcome, counts, now),
+            FrontAsk::Comparison(ids) => self.on_comparison(ids, outcome, counts, spare, now),
         }
     }
 
-    fn on_batch(&mut self, ids: Vec<FrontId>, outcome: Outcome) {
+    fn on_comparison(
+        &mut self,
+        ids: Vec<FrontId>,
+        outcome: Outcome,
+        counts: Counts,
+        spare: bool,
+        now: Time,
+    ) {
+        self.comparing = false;
+        let changed = match &outcome {
+            Outcome::Conflict(failed) => failed.iter().filter_map(|k| parse_live(k)).collect(),
+            _ => BTreeSet::new(),
+        };
+        for id in ids {
+            let Some(open) = self.open.get(&id) else {
+                continue;
+            };
+            let job = open.job;
+            match &outcome {
+                Outcome::Applied(_) => self.still_live(id, job, counts, spare, now),
+                // Those that are not named need not be the others: they are compared again.
+                Outcome::Conflict(_) if !changed.is_empty() && !changed.contains(&job) => {
+                    self.enter(id, Stage::Comparing);
+                }
+                Outcome::Conflict(_) => {
+                    self.known.remove(&job);
+                    self.enter(id, Stage::ReadingLive);
+                }
+                Outcome::Busy => self.again(id, now),
+                _ => self.relay(id),
+            }
+        }
+    }
+
+    /// The job's record was there a moment ago; what remains is how its tasks stand.
+    fn still_live(&mut self, id: FrontId, job: JobId, counts: Counts, spare: bool, now: Time) {
+        let known = self.known.get(&job);
+        let shown = known.map(|k| (k.counts, now.since(k.counted) < COUNTS_FOR));
+        match (counts(job), shown) {
+            (Some((done, running)), _) => self.finish(id, Self::progress(job, done, running)),
+            (None, Some(((done, running), fresh))) if fresh || !spare => {
+                self.finish(id, Self::progress(job, done, running));
+            }
+            _ => self.enter(id, Stage::ReadingCounts),
+        }
+    }
+
+    fn on_batch(&mut self, ids: Vec<FrontId>, outcome: Outcome, now: Time) {
         self.in_flight = false;
         for id in ids {
             let Some(open) = self.open.get(&id) else {
@@ -429,7 +605,8 @@
             };
             let job = open.job;
             match &outcome {
-                Outcome::Applied(_) => {
+                Outcome::Applied(revision) => {
+                    self.know(job, *revision);
                     let body = Self::status(JobState::Queued, job, 0, 0);
                     self.finish(id, Response::new(201, body));
                 }
@@ -441,37 +618,53 @@
                         self.enter(id, Stage::Queued);
                     }
                 }
+                Outcome::Busy => self.again(id, now),
                 // It can be carried out only once, so repeating it is safe, also by another node.
                 _ => self.relay(id),
             }
         }
     }
 
-    fn on_one(&mut self, id: FrontId, outcome: Outcome, counts: Counts) {
+    fn on_one(&mut self, id: FrontId, outcome: Outcome, counts: Counts, now: Time) {
         let Some(open) = self.open.get(&id) else {
             return;
         };
         let job = open.job;
+        let withdraws = matches!(open.want, Want::Withdraw);
         match (open.stage.clone(), outcome) {
+            (_, Outcome::Busy) => self.again(id, now),
             (Stage::ReadingLive, Outcome::Item(Some(item))) => {
-                if matches!(open.want, Want::Withdraw) {
+                if let Some(over) = records::over_in_place(&item.value) {
+                    self.remember(job, over);
+                    self.finish(id, Self::final_answer(job, over));
+                    return;
+                }
+                self.know(job, item.stamp);
+                if withdraws {
                     self.send_withdrawal(id, job, item.stamp);
                 } else if let Some((done, running)) = counts(job) {
                     self.finish(id, Self::progress(job, done, running));
                 } else {
-                    self.enter(id, Stage::ReadingCounts { live: item.stamp });
+                    self.enter(id, Stage::ReadingCounts);
                 }
             }
             (Stage::ReadingLive, Outcome::Item(None)) => self.enter(id, Stage::ReadingOver),
-            (Stage::ReadingCounts { .. }, Outcome::Item(item)) => {
+            (Stage::ReadingCounts, Outcome::Item(item)) => {
                 let record: Option<ChunkRecord> = item.and_then(|i| i.record());
                 let (done, running) = record.map_or((0, 0), |r| {
                     (r.done_count() + r.rest.0, r.booked.len() as u64 + r.rest.1)
                 });
+                if let Some(known) = self.known.get_mut(&job) {
+                    known.counts = (done, running);
+                    known.counted = now;
+                }
                 self.finish(id, Self::progress(job, done, running));
             }
             (Stage::ReadingOver, Outcome::Item(Some(item))) => match item.record::<OverRecord>() {
                 Some(over) => {
+                    if withdraws && over.state == JobState::Cancelled {
+                        self.cancelled.push(job);
+                    }
                     self.remember(job, over);
                     self.finish(id, Self::final_answer(job, over));
                 }
@@ -485,6 +678,7 @@
                     tasks: 0,
                 };
                 self.remember(job, over);
+                self.cancelled.push(job);
                 self.finish(id, Self::final_answer(job, over));
             }
             // It was finished or withdrawn by another: look again.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use crate::bookkeeping::budget::share_of;
 use crate::bookkeeping::records::{self, HolderRecord, TermRecord};
 use crate::bookkeeping::store::{Ask, AskId, Class, Outcome, Store};
 use crate::coordination::leadership::{Leadership, Seen, Step, Wish};
@@ -19,7 +20,7 @@
 use crate::protocol::{decode, encode};
 use crate::settings::{Settings, Tuning};
 use crate::transport::{CallId, ConnId, Door, Happening, Request, Response, Transport};
-use crate::types::{seconds, HostName, Stamp, Term, Time};
+use crate::types::{seconds, HostName, JobId, Stamp, Term, Time};
 use front::{Client, Front, FrontAct, FrontAsk, FrontId};
 use office::{Office, OfficeAsk};
 
@@ -57,6 +58,8 @@
 const CALM: Duration = Duration::from_secs(15);
 const WORKERS_FOR: Duration = Duration::from_secs(6);
 const MAX_WORKERS: usize = 10_000;
+/// Cancellations in one greeting.
+const MAX_TOLD: usize = 300;
 const SUMMARY_EVERY: Duration = Duration::from_secs(10);
 /// What the nodes together leave of the budgets, for requests that are counted late.
 const HEADROOM: f64 = 0.92;
@@ -77,6 +80,13 @@
     relays: HashMap<CallId, FrontId>,
     /// The zone that holds the most machines, as far as this node has heard.
     home: Option<String>,
+    /// What this node spends of the state service's budgets in a second, and what it had spent in
+    /// all when that was last looked at.
+    spends: (f64, f64),
+    spent: (f64, f64),
+    spent_at: Time,
+    /// Jobs that some node told its user were cancelled, and until when that is worth telling.
+    cancelled: BTreeMap<JobId, Time>,
     /// Workers that reported here lately, and when.
     workers: BTreeMap<HostName, Time>,
     seat_at: Time,
@@ -104,7 +114,7 @@
                 .map_err(|e| format!("listening on {at}: {e}"))?;
         }
         let nodes = settings.peers.len() as f64 + 1.0;
-        // The leader spends the most, but any node may lead, and users reach all of them.
+        // Bursts: the leader spends the most, but any node may lead, and users reach all of them.
         let share = if nodes > 1.0 {
             HEADROOM * 0.5
         } else {
@@ -151,6 +161,10 @@
             types_call: None,
             relays: HashMap::new(),
             home: None,
+            spends: (0.0, 0.0),
+            spent: (0.0, 0.0),
+            spent_at: Time::default(),
+            cancelled: BTreeMap::new(),
             workers: BTreeMap::new(),
             seat_at: Time::default(),
             state_ok: false,
@@ -367,6 +381,8 @@
             home: self.home.clone(),
             workers: self.workers.len() as u32,
             made_room: self.leadership.made_room(self.transport.now()),
+            spends: (self.spends.0.ceil() as u32, self.spends.1.ceil() as u32),
+            cancelled: self.cancelled_to_tell(),
         }
     }
 
@@ -382,7 +398,37 @@
         }
     }
 
+    /// The latest cancellations, with what is left of their time: it only gets less on its way from
+    /// node to node, so that none goes round for ever.
+    fn cancelled_to_tell(&self) -> Vec<(u64, u32)> {
+        let now = self.transport.now();
+        let mut latest: Vec<(u64, u32)> = self
+            .cancelled
+            .iter()
+            .map(|(job, until)| (job.0, until.since(now).as_millis() as u32))
+            .collect();
+        latest.sort_by_key(|(_, left)| std::cmp::Reverse(*left));
+        latest.truncate(MAX_TOLD);
+        latest
+    }
+
+    /// Notes that a job is cancelled; its tasks are stopped if this node leads.
+    fn on_cancelled(&mut self, job: JobId, left: Duration) {
+        let now = self.transport.now();
+        let until = now.after(left);
+        let known = self.cancelled.entry(job).or_insert(until);
+        *known = until.max(*known);
+        if let Some(office) = &mut self.office {
+            office.controller.on_cancelled(job, now);
+        }
+    }
+
     fn term_from_peer(&mut self, hello: &Hello) {
+        let most = self.settings.settings.workers.cancel() * 2;
+        for (job, left) in &hello.cancelled {
+            let left = Duration::from_millis(u64::from(*left)).min(most);
+            self.on_cancelled(JobId(*job), left);
+        }
         let term = Term(hello.term);
         let wish = self.leadership.heard_of(term, hello.leader.as_deref());
         self.grant(wish);
@@ -474,7 +520,8 @@
                 let certain = self.leadership.is_certain(now);
                 let office = self.office.as_ref().filter(|_| certain);
                 let counts = |job| office.and_then(|o| o.counts(job));
-                self.front.on_outcome(ask, outcome, &counts, now);
+                let spare = self.store.has_spare(now);
+                self.front.on_outcome(ask, outcome, &counts, spare, now);
             }
             Some(Purpose::Types) => {
                 if let Outcome::Item(Some(item)) = outcome {
@@ -519,7 +566,7 @@
             }
             Wish::Grant(ttl) => (Step::Grant, Ask::Grant(ttl)),
             Wish::Claim(txn) => (Step::Claim, Ask::Txn(txn)),
-            Wish::Renew(lease) => (Step::Renew, Ask::Extend(lease)),
+            Wish::Renew(lease) => (Step::Renew(lease), Ask::Extend(lease)),
             Wish::End(lease) => (Step::End, Ask::End(lease)),
             Wish::Resign(lease) => {
                 self.office = None;
@@ -547,6 +594,11 @@
             seconds(self.tuning.batch_interval_s),
             now,
         ));
+        if let Some(office) = &mut self.office {
+            for job in self.cancelled.keys() {
+                office.controller.on_cancelled(*job, now);
+            }
+        }
         // The others learn at once where workers belong.
         for peer in &mut self.peers {
             peer.due = now;
@@ -659,6 +711,11 @@
             let id = self.store.ask(now, Class::Booking, ask, LEAD_LIMIT);
             self.purposes.insert(id, Purpose::Types);
         }
+        self.share_budgets(now);
+        for job in self.front.take_cancelled() {
+            self.on_cancelled(job, self.settings.settings.workers.cancel() * 2);
+        }
+        self.cancelled.retain(|_, until| *until > now);
         self.front.expire(now);
         let answers = self.state_answers(now);
         if answers != self.state_ok {
@@ -680,6 +737,29 @@
         }
     }
 
+    /// The nodes share the state service's budgets: each spends what the others leave.
+    fn share_budgets(&mut self, now: Time) {
+        let passed = now.since(self.spent_at);
+        if passed < HELLO_EVERY {
+            return;
+        }
+        self.spent_at = now;
+        let spent = self.store.spent();
+        let rate = |now: f64, before: f64| (now - before) / passed.as_secs_f64();
+        self.spends = (rate(spent.0, self.spent.0), rate(spent.1, self.spent.1));
+        self.spent = spent;
+        let heard = self.peers.iter().filter(|p| self.hears(p, now));
+        let others = heard.filter_map(|p| p.heard.as_ref().map(|(_, h)| h.spends));
+        let others = others.fold((0.0, 0.0), |sum: (f64, f64), spends| {
+            (sum.0 + f64::from(spends.0), sum.1 + f64::from(spends.1))
+        });
+        let state = &self.settings.settings.state;
+        let nodes = self.peers.len() + 1;
+        let rps = share_of(state.rps * HEADROOM, nodes, others.0);
+        let write_rps = share_of(state.write_rps * HEADROOM, nodes, others.1);
+        self.store.set_rates(now, rps, write_rps);
+    }
+
     fn tell(&mut self) {
         let (waiting, oldest) = self.store.backlog(self.transport.now());
         log::debug!("state service: {waiting} requests wait, the oldest for {oldest:?}");
@@ -730,7 +810,7 @@
                     self.store.sent_as(out.id, call);
                 }
                 Err(id) => {
-                    self.on_outcome(id, Outcome::Refused);
+                    self.on_outcome(id, Outcome::Busy);
                     self.flush_front(now);
                 }
             }
--- a/src/node/office.rs
+++ b/src/node/office.rs
@@ -55,6 +55,10 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// Below this share of the write budget only urgent records are written.
 const SPARE: f64 = 0.4;
+/// What the smallest step takes: a record and the first one of its job.
+const LEAST_BATCH: usize = 2;
+/// A transaction waits until the budget allows so many changes, if there are as many.
+const WORTH_BATCH: usize = 6;
 
 /// How often something is done, and whether it is being done.
 struct Chore {
@@ -212,7 +216,12 @@
         if let Some(seen) = &mut self.seen {
             seen.insert(id);
         }
-        if let Some(record) = item.record() {
+        if let Some(over) = records::over_in_place(&item.value) {
+            // Our own doing, unless the records are just being read.
+            if !self.loaded {
+                self.controller.on_done_before(id, over, item.stamp);
+            }
+        } else if let Some(record) = item.record() {
             self.controller.on_job(record, item.stamp);
         }
     }
@@ -349,16 +358,18 @@
         if !ledger.is_idle() || now < self.batch_at {
             return;
         }
-        if !ledger.has_urgent() && writes.share(now) < SPARE {
+        let spare = writes.share(now) > SPARE;
+        if !ledger.has_urgent() && !spare {
             return;
         }
-        // At least what finishing one job takes, else a small budget would never allow it.
+        // Many in one transaction where many wait: each is a request of its own.
         let affordable = writes.available(now).max(0.0) as usize;
         let most = affordable.min(self.txn_ops);
-        if most < 3 {
+        let (urgent, others) = ledger.backlog();
+        if most < (urgent + others).clamp(LEAST_BATCH, WORTH_BATCH) {
             return;
         }
-        if let Some(txn) = self.controller.next_batch(most) {
+        if let Some(txn) = self.controller.next_batch(most, spare) {
             self.batch_at = now.after(self.batch_interval);
             self.wishes
                 .push((Class::Booking, Ask::Txn(txn), BATCH_LIMIT, OfficeAsk::Batch));
@@ -408,6 +419,11 @@
         self.calls.insert(call, what);
     }
 
+    fn may_ask_cloud(&mut self, transport: &Transport, action: &Action, now: Time) -> bool {
+        let pressing = matches!(action, Action::Remove(_));
+        self.cloud_budget.available(now) >= 1.0 && (pressing || self.may_act(transport))
+    }
+
     fn act(&mut self, transport: &mut Transport, action: Action, now: Time) {
         match action {
             Action::Command {
@@ -441,7 +457,7 @@
                     },
                 );
             }
-            action if self.cloud_budget.available(now) < 1.0 || !self.may_act(transport) => {
+            action if !self.may_ask_cloud(transport, &action, now) => {
                 self.waiting.push(action);
             }
             Action::Rent(rental) => {
@@ -455,7 +471,7 @@
                     now,
                 );
             }
-            Action::Release(hosts) => {
+            Action::Release(hosts) | Action::Remove(hosts) => {
                 let names = HostNames { hosts };
                 let body = encode(&names);
                 let what = OfficeCall::Release(names.hosts);
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -17,6 +17,12 @@
     pub workers: u32,
     /// The sender led and made room a short while ago.
     pub made_room: bool,
+    /// What the sender spends of the state service's budgets: requests and changes a second.
+    pub spends: (u32, u32),
+    /// Jobs that the sender told users were cancelled, a short while ago. The leader may be the one
+    /// that the state service does not answer, and must stop their tasks all the same.
+    /// With each the milliseconds for which that is worth telling.
+    pub cancelled: Vec<(u64, u32)>,
 }
 
 /// A user's request, passed on by a node that the state service does not answer.
--- a/tests/leadership.rs
+++ b/tests/leadership.rs
@@ -77,7 +77,12 @@
 fn validity_counts_from_the_sending_of_the_renewal() {
     let mut l = leader();
     assert_eq!(l.tick(Time(1000)), Some(Wish::Renew(LeaseId(9))));
-    l.on_outcome(Step::Renew, Outcome::Extended, Time(1000), Time(2500));
+    l.on_outcome(
+        Step::Renew(LeaseId(9)),
+        Outcome::Extended,
+        Time(1000),
+        Time(2500),
+    );
     assert!(l.is_certain(Time(3900)));
     assert!(!l.is_certain(Time(4000)));
     assert!(l.is_leading());
@@ -90,7 +95,7 @@
     for second in 1..60 {
         let now = Time(second * 1000);
         l.tick(now);
-        l.on_outcome(Step::Renew, Outcome::Refused, now, now);
+        l.on_outcome(Step::Renew(LeaseId(9)), Outcome::Refused, now, now);
     }
     assert!(l.is_leading() && !l.is_certain(Time(60_000)));
     assert_eq!(l.heard_of(Term(4), None), None);
@@ -102,7 +107,12 @@
 fn a_lease_that_is_gone_ends_the_office() {
     let mut l = leader();
     l.tick(Time(1000));
-    let wish = l.on_outcome(Step::Renew, Outcome::LeaseGone, Time(1000), Time(1010));
+    let wish = l.on_outcome(
+        Step::Renew(LeaseId(9)),
+        Outcome::LeaseGone,
+        Time(1000),
+        Time(1010),
+    );
     assert_eq!(wish, Some(Wish::StepDown));
 }
 
@@ -235,6 +245,11 @@
     let now = l.next_wake();
     assert!(matches!(l.tick(now), Some(Wish::Renew(_))));
     assert!(l.next_wake() > now);
-    l.on_outcome(Step::Renew, Outcome::Unknown, now, Time(now.0 + 1200));
+    l.on_outcome(
+        Step::Renew(LeaseId(9)),
+        Outcome::Unknown,
+        now,
+        Time(now.0 + 1200),
+    );
     assert!(l.next_wake() <= Time(now.0 + 1200));
 }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -54,6 +54,7 @@
         chunk_size: 16,
         probes: 4,
         commands: 1000,
+        records: 10_000,
         teams: vec![Team {
             name: "open".into(),
             cpus: None,
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -9,12 +9,12 @@
 use std::fs;
 use std::path::Path;
 
-use lichencrank::bookkeeping::records::{ChunkRecord, JobRecord};
+use lichencrank::bookkeeping::records::{ChunkRecord, JobRecord, OverRecord};
 use lichencrank::coordination::fleet::RentalResult;
 use lichencrank::coordination::{Action, CommandResult, Controller, Deposed, Rulebook};
 use lichencrank::protocol::cloud::{ListedHost, ListedStatus, MachineType};
 use lichencrank::protocol::state::Change;
-use lichencrank::protocol::users::{JobSpec, Priority, Shape};
+use lichencrank::protocol::users::{JobSpec, JobState, Priority, Shape};
 use lichencrank::protocol::workers::{Cause, Order, Report, TaskReport, TaskState};
 use lichencrank::protocol::Amount;
 use lichencrank::settings::{Team, Tuning};
@@ -57,6 +57,7 @@
         chunk_size: 4,
         probes: 4,
         commands: 8,
+        records: 100,
         teams: vec![team("open", 0.0, 0.0), team("tight", 4.0, 8.0)],
         tuning: Tuning::default(),
     }
@@ -163,6 +164,10 @@
                     let names: Vec<&str> = hosts.iter().map(HostName::as_str).collect();
                     self.say(&format!("release {}", names.join(" ")));
                 }
+                Action::Remove(hosts) => {
+                    let names: Vec<&str> = hosts.iter().map(HostName::as_str).collect();
+                    self.say(&format!("remove {}", names.join(" ")));
+                }
             }
         }
     }
@@ -188,6 +193,7 @@
             shape: Shape::Array,
             priority: match field("priority") {
                 Some("high") => Priority::High,
+                Some("low") => Priority::Low,
                 _ => Priority::Normal,
             },
             tasks: number("tasks", 1.0) as u64,
@@ -267,7 +273,7 @@
     }
 
     fn write(&mut self, how: &[&str]) {
-        let Some(txn) = self.controller.next_batch(16) else {
+        let Some(txn) = self.controller.next_batch(16, true) else {
             return self.say("nothing to write");
         };
         for change in &txn.changes {
@@ -360,6 +366,15 @@
             "record" => self.run_record(&words[1..]),
             "loaded" => self.controller.on_loaded(now),
             "cancel" => self.controller.on_job_gone(id(words[1]), now),
+            "told" => self.controller.on_cancelled(id(words[1]), now),
+            "done" => {
+                let over = OverRecord {
+                    state: JobState::Done,
+                    tasks: 1,
+                };
+                let id = id(words[1]);
+                self.controller.on_done_before(id, over, Stamp(9));
+            }
             "report" => {
                 let report = self.report(rest);
                 match self.controller.on_report(&report, now) {
