--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -96,7 +96,7 @@
                 host.removed_at = Some(now);
             }
         }
-        for names in names.chunks(MAX_RELEASE as usize) {
+        for names in names.chunks(MAX_RELEASE) {
             self.actions.push(Action::Remove(names.to_vec()));
         }
     }
