--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -262,10 +262,12 @@
             return;
         }
         log::debug!(
-            "{id}: {} tasks, {:?}, {} CPUs, due in {} s",
+            "{id}: {} tasks, {:?}, {} CPUs, about {} s each, saves every {} s, due in {} s",
             record.spec.tasks,
             record.spec.priority,
             record.spec.cpus.0,
+            record.spec.estimate_s.0,
+            record.spec.checkpoint_s.0,
             record.spec.deadline_s.map_or(f64::INFINITY, |d| d.0)
         );
         let age = self.day_ms.saturating_sub(record.at_ms);
@@ -452,6 +454,8 @@
         if written.chunks.is_empty() {
             return;
         }
+        // Bookings may have waited for room among the records.
+        self.place_wanted = true;
         let mut ready: BTreeSet<HostName> = BTreeSet::new();
         for key in &written.chunks {
             let Some(waiting) = self.recording.remove(key) else {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -208,8 +208,8 @@
             spread: words.contains(&"apart"),
             spot: !words.contains(&"ordinary"),
             estimate_s: Amount(number("guess", 30.0)),
-            checkpoint_s: Amount(0.0),
-            save_s: Amount(0.0),
+            checkpoint_s: Amount(number("saves", 0.0)),
+            save_s: Amount(2.0),
             deadline_s: field("due").map(|d| Amount(d.parse().expect("a number"))),
         };
         self.stamp += 1;
@@ -364,6 +364,13 @@
             }
             "job" => self.job(&words[1..]),
             "record" => self.run_record(&words[1..]),
+            "records" => {
+                let mut rules = rules();
+                rules.records = words[1].parse().expect("a number");
+                let types = std::mem::take(&mut self.controller.types);
+                self.controller = Controller::new(TERM, Stamp(1), rules, types, Time(0));
+                self.controller.valid_until = FOREVER;
+            }
             "loaded" => self.controller.on_loaded(now),
             "cancel" => self.controller.on_job_gone(id(words[1]), now),
             "told" => self.controller.on_cancelled(id(words[1]), now),
