--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -88,6 +88,8 @@
 #[derive(Debug)]
 pub struct Chunk {
     pub tasks: Vec<TaskState>,
+    /// How many of them are booked.
+    booked: u32,
     /// The version of its record; 0 while there is none.
     pub stamp: Stamp,
     /// Counts changes, and says up to which one the record is known to be written.
@@ -276,17 +278,20 @@
                 bookings.push((first + offset, attempt, host.clone(), session));
             }
         }
+        let mut booked = 0;
         for (offset, task) in tasks.iter().enumerate() {
             match task {
                 TaskState::Waiting { .. } => {
                     self.retry.insert(first + offset as u32);
                 }
-                TaskState::Booked { .. } => self.booked += 1,
+                TaskState::Booked { .. } => booked += 1,
                 TaskState::Done => self.done += 1,
             }
         }
+        self.booked += booked;
         self.chunks[at] = Some(Box::new(Chunk {
             tasks,
+            booked,
             stamp,
             changes: 0,
             written: 0,
@@ -362,6 +367,7 @@
         let chunk = slot.get_or_insert_with(|| {
             Box::new(Chunk {
                 tasks: vec![TaskState::Waiting { last: Attempt(0) }; length as usize],
+                booked: 0,
                 stamp: Stamp(0),
                 changes: 0,
                 written: 0,
@@ -374,7 +380,10 @@
             TaskState::Waiting { .. } => {
                 self.retry.remove(&index);
             }
-            TaskState::Booked { .. } => self.booked -= 1,
+            TaskState::Booked { .. } => {
+                self.booked -= 1;
+                chunk.booked -= 1;
+            }
             // Done is for ever.
             TaskState::Done => return None,
         }
@@ -382,7 +391,10 @@
             TaskState::Waiting { .. } => {
                 self.retry.insert(index);
             }
-            TaskState::Booked { .. } => self.booked += 1,
+            TaskState::Booked { .. } => {
+                self.booked += 1;
+                chunk.booked += 1;
+            }
             TaskState::Done => self.done += 1,
         }
         *task = state;
@@ -397,7 +409,8 @@
         } else {
             &[]
         };
-        let tasks = some.iter().flatten().flat_map(|c| &c.tasks);
+        let holding = some.iter().flatten().filter(|c| c.booked > 0);
+        let tasks = holding.flat_map(|c| &c.tasks);
         tasks.filter_map(|t| match t {
             TaskState::Booked { host, .. } => Some(host),
             TaskState::Waiting { .. } | TaskState::Done => None,
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -8,6 +8,9 @@
 
 /// More ended attempts than this are cleared at once, as reports have to stay small.
 const MAX_KEPT: usize = 200;
+/// Where so many are kept already, tasks are started in answers to reports only: no copy of those
+/// comes late, so that what ended can be cleared at once.
+const MANY_KEPT: usize = 60;
 
 impl Controller {
     /// What the worker should do now. In the answer to a report, `run` can't be executed late.
@@ -17,7 +20,8 @@
         answer_to: Option<Tick>,
         now: Time,
     ) -> Vec<Order> {
-        let may_start = self.may_act(now);
+        let many = host.leftovers.len() > MANY_KEPT;
+        let may_start = self.may_act(now) && (answer_to.is_some() || !many);
         let crowded = host.leftovers.len() > MAX_KEPT;
         let mut orders = Vec::new();
         for (&(task, attempt), leftover) in &host.leftovers {
--- /dev/null
+++ b/tests/size.rs
@@ -0,0 +1,281 @@
+//! One job of as many tasks as the protocol allows: every record and transaction stays within the
+//! state service's limits, a new leader finishes what the old one began, and nothing is left over.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ciborium::Value;
+use lichencrank::bookkeeping::records::{self, JobRecord};
+use lichencrank::coordination::{Action, CommandResult, Controller, Rulebook};
+use lichencrank::protocol::cloud::MachineType;
+use lichencrank::protocol::state::{Change, Item, Txn};
+use lichencrank::protocol::users::{JobSpec, Priority, Shape};
+use lichencrank::protocol::workers::{Cause, Order, Report, TaskReport, TaskState};
+use lichencrank::protocol::Amount;
+use lichencrank::settings::{Team, Tuning};
+use lichencrank::types::{Attempt, HostName, JobId, Session, Stamp, TaskId, Term, Tick, Time};
+
+const TASKS: u64 = 100_000;
+const VALUE_KB: f64 = 16.0;
+const TXN_OPS: usize = 16;
+const JOB: JobId = JobId(7);
+
+fn types() -> Vec<MachineType> {
+    vec![MachineType {
+        name: "wide".into(),
+        cpus: Amount(64.0),
+        gpus: Amount(0.0),
+        memory_gb: Amount(512.0),
+        fetch_gb_per_s: Amount(1.0),
+        price: Amount(1.0),
+        spot_price: Amount(0.3),
+        boot_s: Amount(30.0),
+        zones: vec!["a".into()],
+    }]
+}
+
+fn rules() -> Rulebook {
+    Rulebook {
+        report: Duration::from_secs(3),
+        lease: Duration::from_secs(16),
+        cancel: Duration::from_secs(40),
+        list_lag: Duration::from_secs(10),
+        chunk_size: records::chunk_size(VALUE_KB),
+        probes: 10,
+        commands: 100,
+        records: 100,
+        teams: vec![Team {
+            name: "open".into(),
+            cpus: None,
+            cpus_max: None,
+            gpus: None,
+            gpus_max: None,
+        }],
+        tuning: Tuning {
+            // The machines stay for the whole test.
+            idle_return_s: 86_400.0,
+            ..Tuning::default()
+        },
+    }
+}
+
+fn record() -> JobRecord {
+    JobRecord {
+        spec: JobSpec {
+            id: JOB,
+            class: "tiny".into(),
+            team: "open".into(),
+            shape: Shape::Array,
+            priority: Priority::Low,
+            tasks: TASKS,
+            cpus: Amount(0.25),
+            gpus: Amount(0.0),
+            memory_gb: Amount(0.5),
+            image: "img".into(),
+            image_gb: Amount(0.5),
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            estimate_s: Amount(4.0),
+            checkpoint_s: Amount(0.0),
+            save_s: Amount(0.0),
+            deadline_s: None,
+        },
+        at_ms: 0,
+        chunk: records::chunk_size(VALUE_KB),
+    }
+}
+
+#[derive(Default)]
+struct Worker {
+    tick: u64,
+    tasks: BTreeMap<(TaskId, Attempt), bool>,
+    starts: u64,
+}
+
+impl Worker {
+    fn obey(&mut self, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Run { task, attempt } => {
+                    if !self.tasks.contains_key(&(*task, *attempt)) {
+                        self.tasks.insert((*task, *attempt), false);
+                        self.starts += 1;
+                    }
+                }
+                Order::Stop { task, attempt, .. } | Order::Clear { task, attempt } => {
+                    self.tasks.remove(&(*task, *attempt));
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, name: &HostName, token: Term) -> Report {
+        self.tick += 1;
+        let tasks = self
+            .tasks
+            .iter()
+            .map(|((task, attempt), ended)| TaskReport {
+                task: *task,
+                attempt: *attempt,
+                state: if *ended {
+                    TaskState::Ended
+                } else {
+                    TaskState::Running
+                },
+                cause: ended.then_some(Cause::Done),
+            });
+        Report {
+            host: name.clone(),
+            address: "127.0.0.1:9000".into(),
+            kind: "wide".into(),
+            zone: "a".into(),
+            spot: true,
+            session: Session(1),
+            tick: Tick(self.tick),
+            token,
+            notice_s: None,
+            tasks: tasks.collect(),
+        }
+    }
+}
+
+/// The state service's side: what is kept, and whether what comes is within its limits.
+#[derive(Default)]
+struct Kept {
+    revision: u64,
+    items: BTreeMap<String, (Value, Stamp)>,
+}
+
+fn size(value: &impl serde::Serialize) -> usize {
+    serde_json::to_vec(value).expect("it has a form").len()
+}
+
+impl Kept {
+    fn apply(&mut self, txn: &Txn) -> Stamp {
+        assert!(size(txn) <= 64 * 1024, "{} bytes", size(txn));
+        assert!(txn.changes.len() <= TXN_OPS, "{}", txn.changes.len());
+        assert!(txn.conditions.len() <= 4 * TXN_OPS);
+        for condition in &txn.conditions {
+            let there = self.items.get(&condition.key);
+            let stamp = there.map_or(Stamp(0), |(_, stamp)| *stamp);
+            assert_eq!(stamp, condition.stamp, "{}", condition.key);
+        }
+        self.revision += 1;
+        let stamp = Stamp(self.revision);
+        for change in &txn.changes {
+            match change {
+                Change::Put { key, value, .. } => {
+                    assert!(size(value) <= (VALUE_KB * 1024.0) as usize, "{key}");
+                    self.items.insert(key.clone(), (value.clone(), stamp));
+                }
+                Change::Delete { key } => {
+                    self.items.remove(key);
+                }
+            }
+        }
+        stamp
+    }
+
+    fn take_office(&mut self, term: Term, now: Time) -> Controller {
+        let holder = (Value::Null, Stamp(term.0));
+        self.items.insert(records::HOLDER.to_owned(), holder);
+        let mut c = Controller::new(term, Stamp(term.0), rules(), types(), now);
+        c.valid_until = Time(u64::MAX);
+        for (key, (value, stamp)) in &self.items {
+            let (key, value, stamp) = (key.clone(), value.clone(), *stamp);
+            let item = Item { key, value, stamp };
+            if records::parse_live(&item.key).is_some() {
+                assert!(records::over_in_place(&item.value).is_none());
+                c.on_job(item.record().expect("a job"), stamp);
+            }
+        }
+        for (key, (value, stamp)) in &self.items {
+            if let Some((job, chunk)) = records::parse_run(key) {
+                let record = value.deserialized().expect("a run record");
+                c.on_run_record(job, chunk, &record, *stamp, now);
+            }
+        }
+        c.on_loaded(now);
+        c
+    }
+}
+
+#[test]
+fn a_job_of_the_largest_size_runs_once_and_leaves_nothing() {
+    let mut kept = Kept {
+        revision: 100,
+        ..Kept::default()
+    };
+    let live = kept.apply(&Txn {
+        conditions: Vec::new(),
+        changes: vec![Change::put(
+            records::live_key(JOB),
+            lichencrank::protocol::state::value(&record()),
+        )],
+    });
+    let mut now = Time(0);
+    let mut c = kept.take_office(Term(3), now);
+    assert_eq!(c.jobs[&JOB].live, live);
+    let mut workers: BTreeMap<HostName, Worker> = (0..40)
+        .map(|n| (HostName::new(&format!("vm-{n:03}")), Worker::default()))
+        .collect();
+    let mut largest_report = 0;
+    let mut rounds = 0;
+    let over = records::over_key(JOB);
+    while !kept.items.contains_key(&over) || !c.jobs.is_empty() {
+        rounds += 1;
+        assert!(rounds < 2000, "{} tasks done", c.jobs[&JOB].done);
+        now = now.after(Duration::from_millis(500));
+        if rounds == 120 {
+            // The leader ends in the middle, whatever it had under way.
+            assert!(c.jobs[&JOB].done > 1000 && c.jobs[&JOB].booked > 0);
+            c = kept.take_office(Term(4), now);
+        }
+        for (name, worker) in &mut workers {
+            for ended in worker.tasks.values_mut() {
+                *ended = true;
+            }
+            let report = worker.report(name, c.term);
+            largest_report = largest_report.max(report.tasks.len());
+            let orders = c.on_report(&report, now).expect("its term");
+            worker.obey(&orders);
+        }
+        c.tick(now, now.0);
+        for _ in 0..6 {
+            let Some(txn) = c.next_batch(TXN_OPS, true) else {
+                break;
+            };
+            let stamp = kept.apply(&txn);
+            let Controller { ledger, jobs, .. } = &mut c;
+            let verdict = ledger.applied(jobs, stamp, now);
+            c.on_verdict(verdict, now).expect("its term");
+            for action in c.take_actions() {
+                let Action::Command {
+                    host,
+                    session,
+                    orders,
+                    ..
+                } = action
+                else {
+                    continue;
+                };
+                let worker = workers.get_mut(&host).expect("a machine of the test");
+                worker.obey(&orders);
+                let report = Box::new(worker.report(&host, c.term));
+                let result = CommandResult::Report(report);
+                c.on_commanded(&host, session, &orders, result, now)
+                    .expect("its term");
+            }
+        }
+        c.take_actions();
+    }
+    let starts: u64 = workers.values().map(|w| w.starts).sum();
+    assert_eq!(starts, TASKS, "each task was started once");
+    // A report may have 64 KiB; one task takes less than 100 bytes of it.
+    assert!(largest_report < 600, "{largest_report} tasks in a report");
+    let left: Vec<&String> = kept.items.keys().collect();
+    assert_eq!(left, [records::HOLDER, over.as_str()]);
+}
