--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -495,7 +495,7 @@
                 .iter()
                 .all(|k| scarce.get(*k) == Some(&true));
             if needs_scarce == group {
-                let count = u64::from(job.waiting()).min(self.team_room(job));
+                let count = u64::from(job.placeable()).min(self.team_room(job));
                 demand += count as f64 * job.need.cpus;
             }
         }
@@ -538,7 +538,7 @@
                 spec,
                 run: self.expected_run(job),
                 due: job.due_ms().map(|due| (due - self.day_ms as f64) / 1000.0),
-                tasks: u64::from(job.waiting()).min(self.team_room(job)),
+                tasks: u64::from(job.placeable()).min(self.team_room(job)),
                 from: 0.0,
                 to_come: false,
             });
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -341,6 +341,16 @@
         }
     }
 
+    /// How many tasks may be placed now. Of a job that fails wherever it is tried one at a time is: all
+    /// of them would take machines, and fetch images, only to fail again.
+    pub fn placeable(&self) -> u32 {
+        if self.suspect() {
+            1u32.saturating_sub(self.booked).min(self.waiting())
+        } else {
+            self.waiting()
+        }
+    }
+
     pub fn first_waiting(&self) -> Option<u32> {
         let fresh = (self.fresh < self.total).then_some(self.fresh);
         self.retry.first().copied().or(fresh)
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -339,7 +339,8 @@
         if plain && pass.full.contains(&shape) {
             return;
         }
-        let mut room = self.team_room(job).min(pass.left);
+        let placeable = u64::from(job.placeable());
+        let mut room = self.team_room(job).min(pass.left).min(placeable);
         let mut siblings = self.siblings(job, spec);
         let mut ranked = self.eligible(job, spec, &usable, pass);
         while room > 0 {
@@ -518,7 +519,7 @@
         if self.hosts.values().any(under_way) {
             return;
         }
-        let room = self.team_room(job).min(u64::from(job.waiting()));
+        let room = self.team_room(job).min(u64::from(job.placeable()));
         let most = (room as usize).min(MAX_PREEMPTED);
         let mut ways: Vec<(f64, HostName, Vec<TaskId>)> = Vec::new();
         for host in self.hosts.values() {
