--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -20,6 +20,9 @@
 const IDLE_LOSS_S: f64 = 20.0;
 /// A task that ends so soon is not worth stopping.
 const SOON_S: f64 = 5.0;
+/// A job that has waited too long has begun once so many of its tasks have run for so long.
+const FEW: u32 = 4;
+const BEGUN_S: f64 = 30.0;
 /// Machines on which room is made at once.
 const MAX_PREEMPTED: usize = 24;
 /// How often room is looked for by preemption.
@@ -326,7 +329,12 @@
         scarce: &[bool],
         pass: &mut Pass,
     ) {
-        let records = self.rules.records * (1 + Priority::Low as usize - spec.priority as usize);
+        let priority = if rank.patient {
+            spec.priority
+        } else {
+            Priority::Critical
+        };
+        let records = self.rules.records * (1 + Priority::Low as usize - priority as usize);
         if pass.now < job.not_before {
             return;
         }
@@ -585,6 +593,13 @@
         let saves = spec.checkpoint_s.0 > 0.0;
         let lost = if saves { spec.save_s.0.min(ran) } else { ran };
         let may = spec.priority > by && booking.stop.is_none();
+        // The first tasks of a job that has waited too long are to have begun for good.
+        let starve_after = seconds(self.rules.tuning.starve_after_s);
+        let waited = Duration::from_millis(self.day_ms.saturating_sub(job.at_ms));
+        let young = ran < BEGUN_S && job.done == 0 && job.booked <= FEW;
+        if waited >= starve_after && young {
+            return None;
+        }
         // What ends by itself that soon makes room without being stopped.
         let ends = self.expected_rest(job, booking.started, now) < SOON_S;
         let most = if spec.priority == Priority::Low {
