--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -342,10 +342,11 @@
     }
 
     /// How many tasks may be placed now. Of a job that fails wherever it is tried one at a time is: all
-    /// of them would take machines, and fetch images, only to fail again.
+    /// of them would take machines, and fetch images, only to fail again. Where others of its tasks run
+    /// on, it may have met sick machines only.
     pub fn placeable(&self) -> u32 {
-        if self.suspect() {
-            1u32.saturating_sub(self.booked).min(self.waiting())
+        if self.suspect() && self.booked == 0 {
+            self.waiting().min(1)
         } else {
             self.waiting()
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -580,6 +580,37 @@
         reach
     }
 
+    /// Which job has waited the longest for its first start, and why, for operators.
+    pub fn longest_wait(&self, now: Time) -> Option<String> {
+        let unbegun = |j: &&Job| j.waiting() > 0 && j.booked == 0 && j.done == 0;
+        let job = self.jobs.values().filter(unbegun).min_by_key(|j| j.at_ms)?;
+        let spec = job.spec.as_ref()?;
+        let waited = self.day_ms.saturating_sub(job.at_ms) / 1000;
+        let why = if !self.may_act(now) {
+            "the state service does not answer here".to_owned()
+        } else if matches!(self.phase, Phase::Loading | Phase::Gathering { .. }) {
+            "a new leader is making its picture".to_owned()
+        } else if job.suspect() || now < job.not_before {
+            format!("it failed {} times", job.failures)
+        } else if self.team_room(job) == 0 {
+            format!("{} is at its limit", job.team)
+        } else if self.ledger.urgent() >= self.rules.records {
+            format!("{} records wait to be written", self.ledger.urgent())
+        } else {
+            let suits = |h: &&Host| {
+                let kind = h.kind.and_then(|k| self.types.get(k));
+                kind.is_some_and(|t| placement::type_suits(spec, t)) && (spec.spot || !h.spot)
+            };
+            let count = |life| {
+                let hosts = self.hosts.values().filter(suits);
+                hosts.filter(|h| h.life == life).count()
+            };
+            let (up, expected) = (count(Life::Up), count(Life::Expected));
+            format!("no room on {up} machines that suit it, {expected} more expected")
+        };
+        Some(format!("{} waits for {waited} s: {why}", job.id))
+    }
+
     /// A line for the log that tells operators how things stand.
     pub fn summary(&self) -> String {
         let count = |life| self.hosts.values().filter(|h| h.life == life).count();
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -317,9 +317,17 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
+        let before = job.suspect();
         job.failed(&host.name, now);
         host.failed_jobs.insert(task.job, now);
         if job.suspect() {
+            if !before {
+                let (times, machines) = (job.failures, job.failed_on.len());
+                log::info!(
+                    "{}: fails wherever it is tried ({times} times, {machines} machines)",
+                    task.job
+                );
+            }
             // It fails everywhere: that says nothing about this machine.
             return;
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -39,6 +39,8 @@
     /// When it was last greeted, and when it was greeted that it last answered, and what.
     greeted: Time,
     heard: Option<(Time, Hello)>,
+    /// What was last said of it in the log.
+    told_heard: bool,
 }
 
 const HELLO_EVERY: Duration = Duration::from_secs(1);
@@ -139,6 +141,7 @@
                 due: Time::default(),
                 greeted: Time::default(),
                 heard: None,
+                told_heard: true,
             })
             .collect();
         let turns = log::log_enabled!(log::Level::Debug)
@@ -717,6 +720,7 @@
             let id = self.store.ask(now, Class::Booking, ask, LEAD_LIMIT);
             self.purposes.insert(id, Purpose::Types);
         }
+        self.tell_of_peers(now);
         self.share_budgets(now);
         for job in self.front.take_cancelled() {
             self.on_cancelled(job, self.settings.settings.workers.cancel() * 2);
@@ -743,6 +747,20 @@
         }
     }
 
+    /// A controller that falls silent shows in the logs of the others.
+    fn tell_of_peers(&mut self, now: Time) {
+        for (named, peer) in self.settings.peers.iter().zip(&mut self.peers) {
+            let heard = peer.heard.as_ref();
+            let heard = heard.is_some_and(|(at, _)| now.since(*at) < HEARD_FOR);
+            // At the start all are given the time to answer.
+            if heard != peer.told_heard && now >= Time::default().after(HEARD_FOR) {
+                peer.told_heard = heard;
+                let how = if heard { "heard again" } else { "not heard" };
+                log::info!("{}: {how}", named.name);
+            }
+        }
+    }
+
     /// The nodes share the state service's budgets: each spends what the others leave.
     fn share_budgets(&mut self, now: Time) {
         let passed = now.since(self.spent_at);
@@ -773,6 +791,9 @@
         log::debug!("sockets: {open} of {most}");
         if let Some(office) = &self.office {
             log::info!("{}", office.controller.summary());
+            if let Some(wait) = office.controller.longest_wait(self.transport.now()) {
+                log::info!("{wait}");
+            }
             let (urgent, others) = office.controller.ledger.backlog();
             log::debug!("records to write: {urgent} urgent, {others} others");
         }
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -100,10 +100,10 @@
         for order in orders {
             match order {
                 Order::Run { task, attempt } => {
-                    if !self.tasks.contains_key(&(*task, *attempt)) {
-                        self.tasks.insert((*task, *attempt), false);
+                    self.tasks.entry((*task, *attempt)).or_insert_with(|| {
                         self.starts += 1;
-                    }
+                        false
+                    });
                 }
                 Order::Stop { task, attempt, .. } | Order::Clear { task, attempt } => {
                     self.tasks.remove(&(*task, *attempt));
