--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -99,9 +99,8 @@
     /// The longest that answers took lately, in milliseconds; it fades with each answer.
     slowest: f64,
     calls: HashMap<CallId, AskId>,
-    /// When the service last answered properly, and when it last did not.
+    /// When the service last answered properly.
     pub good_at: Option<Time>,
-    pub bad_at: Option<Time>,
 }
 
 /// One of so many requests is a read, if any waits.
@@ -129,7 +128,6 @@
             slowest: 0.0,
             calls: HashMap::new(),
             good_at: None,
-            bad_at: None,
         }
     }
 
@@ -297,11 +295,8 @@
         let (kind, sent) = self.sent.remove(&id)?;
         self.took(now.since(sent), kind, result.is_ok());
         let outcome = self.interpret(now, kind, result);
-        match outcome {
-            // A watch that was cut short says nothing: it waits quietly through an outage.
-            Outcome::Unknown if kind == Kind::Watch => {}
-            Outcome::Refused | Outcome::Unknown => self.bad_at = Some(now),
-            _ => self.good_at = Some(now),
+        if !matches!(outcome, Outcome::Refused | Outcome::Unknown) {
+            self.good_at = Some(now);
         }
         Some((id, outcome))
     }
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -21,6 +21,9 @@
 const POLL_LIMIT: Duration = Duration::from_millis(1700);
 /// More at once than this are told to come back.
 const MAX_OPEN: usize = 400;
+/// So many polls about jobs that this node does not know are answered by one read of all jobs.
+const WORTH_LISTING: usize = 8;
+const LIST_PAGE: u32 = 500;
 /// Counts are shown for so long before they are read again, if the budget has some to spare.
 const COUNTS_FOR: Duration = Duration::from_millis(2500);
 /// Jobs that are not over whose versions are kept in memory.
@@ -84,6 +87,17 @@
     One(FrontId),
     Batch(Vec<FrontId>),
     Comparison(Vec<FrontId>),
+    /// A page of all jobs that are not over.
+    Listing,
+}
+
+/// A read of all jobs that are not over, for polls about jobs that this node does not know: after a
+/// controller ended, its users come to the others all at once.
+#[derive(Default)]
+struct Listing {
+    asked: Vec<FrontId>,
+    /// What the pages so far held; with the final state of those that got done.
+    seen: HashMap<JobId, Option<OverRecord>>,
 }
 
 /// What this node last read of a job that was not over. That alone is no answer, as it grows old;
@@ -120,6 +134,7 @@
     /// Polls that wait for the next comparison, and whether one is under way.
     comparisons: VecDeque<FrontId>,
     comparing: bool,
+    listing: Option<Listing>,
     known: HashMap<JobId, Known>,
     finals: HashMap<JobId, OverRecord>,
     finals_order: VecDeque<JobId>,
@@ -151,6 +166,7 @@
             in_flight: false,
             comparisons: VecDeque::new(),
             comparing: false,
+            listing: None,
             known: HashMap::new(),
             finals: HashMap::new(),
             finals_order: VecDeque::new(),
@@ -340,7 +356,7 @@
         );
         let stage = if submits {
             Stage::Queued
-        } else if limit == POLL_LIMIT && self.known.contains_key(&job) {
+        } else if limit == POLL_LIMIT {
             Stage::Comparing
         } else {
             Stage::ReadingLive
@@ -459,6 +475,74 @@
         self.compare_all();
     }
 
+    /// Polls about jobs that this node does not know: a few are read one by one.
+    fn list_all(&mut self, unknown: Vec<FrontId>) {
+        if unknown.len() < WORTH_LISTING && self.listing.is_none() {
+            for id in unknown {
+                self.enter(id, Stage::ReadingLive);
+            }
+        } else if self.listing.is_none() {
+            self.listing = Some(Listing {
+                asked: unknown,
+                ..Listing::default()
+            });
+            self.list_page(String::new());
+        } else {
+            // The listing under way may have passed them before they were asked about.
+            self.comparisons.extend(unknown);
+        }
+    }
+
+    fn list_page(&mut self, after: String) {
+        let ask = Ask::List {
+            prefix: records::LIVE.to_owned(),
+            after,
+            limit: LIST_PAGE,
+        };
+        self.acts
+            .push(FrontAct::Ask(Class::Read, ask, FrontAsk::Listing));
+    }
+
+    fn on_listing(&mut self, outcome: Outcome, view: &View, now: Time) {
+        let Some(mut listing) = self.listing.take() else {
+            return;
+        };
+        let Outcome::Page(page) = outcome else {
+            for id in listing.asked {
+                self.unanswered(id, &outcome, view, now);
+            }
+            return;
+        };
+        for item in &page.items {
+            if let Some(job) = parse_live(&item.key) {
+                let over = records::over_in_place(&item.value);
+                listing.seen.insert(job, over);
+                if over.is_none() {
+                    self.know(job, item.stamp);
+                }
+            }
+        }
+        if let Some(last) = page.items.last().filter(|_| page.more) {
+            let after = last.key.clone();
+            self.listing = Some(listing);
+            return self.list_page(after);
+        }
+        for id in listing.asked {
+            let Some(open) = self.open.get(&id) else {
+                continue;
+            };
+            let job = open.job;
+            match listing.seen.get(&job).copied() {
+                Some(Some(over)) => {
+                    self.remember(job, over);
+                    self.finish(id, Self::final_answer(job, over));
+                }
+                Some(None) => self.still_live(id, job, view, now),
+                None => self.enter(id, Stage::ReadingOver),
+            }
+        }
+    }
+
     /// One transaction that changes nothing tells of many jobs whether they stand as they were read.
     /// It begins after the questions arrived, so no answer is older than it may be.
     fn compare_all(&mut self) {
@@ -468,13 +552,14 @@
         let mut txn = Txn::default();
         let mut compared = BTreeSet::new();
         let mut ids = Vec::new();
+        let mut unknown = Vec::new();
         for id in std::mem::take(&mut self.comparisons) {
             let Some(open) = self.open.get(&id) else {
                 continue;
             };
             let job = open.job;
             let Some(known) = self.known.get(&job) else {
-                self.enter(id, Stage::ReadingLive);
+                unknown.push(id);
                 continue;
             };
             if !compared.contains(&job) {
@@ -488,6 +573,7 @@
             }
             ids.push(id);
         }
+        self.list_all(unknown);
         if !ids.is_empty() {
             self.comparing = true;
             self.acts.push(FrontAct::Ask(
@@ -547,6 +633,7 @@
         let asked = match &ask {
             FrontAsk::Batch(ids) | FrontAsk::Comparison(ids) => &ids[..],
             FrontAsk::One(id) => std::slice::from_ref(id),
+            FrontAsk::Listing => &[],
         };
         for id in asked {
             if self.open.get(id).is_some_and(|open| now >= open.until) {
@@ -557,6 +644,7 @@
             FrontAsk::Batch(ids) => self.on_batch(ids, outcome, view, now),
             FrontAsk::One(id) => self.on_one(id, outcome, view, now),
             FrontAsk::Comparison(ids) => self.on_comparison(ids, outcome, view, now),
+            FrontAsk::Listing => self.on_listing(outcome, view, now),
         }
     }
 
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -8,7 +8,7 @@
 use lichencrank::bookkeeping::store::{Ask, Outcome};
 use lichencrank::node::front::{Client, Front, FrontAct, FrontAsk, View};
 use lichencrank::protocol::cloud::MachineType;
-use lichencrank::protocol::state::{value, Item};
+use lichencrank::protocol::state::{value, Item, Page};
 use lichencrank::protocol::users::JobState;
 use lichencrank::protocol::{decode, encode, Amount};
 use lichencrank::settings::Team;
@@ -187,6 +187,64 @@
     assert!(desk.asked.is_empty());
 }
 
+/// After a controller ended, its users came to the others, which knew none of their jobs: a read for
+/// each went beyond the budget, and most were answered 503.
+#[test]
+fn unknown_jobs_are_read_all_at_once() {
+    let mut desk = Desk::new();
+    // A few are read one by one.
+    let alone = desk.poll(1);
+    assert!(matches!(&desk.asked[0].0, Ask::Get(key) if key == "live/job-000001"));
+    desk.reply(Outcome::Item(None));
+    desk.reply(Outcome::Item(None));
+    assert_eq!(desk.answers[&alone].0, 404);
+
+    let asked: Vec<u64> = (1..31)
+        .map(|job| {
+            let client = desk.client();
+            desk.front.poll(client, &name(job), desk.now);
+            client.conn.serial
+        })
+        .collect();
+    desk.pump();
+    let item = |job: u64, value: Value| Item {
+        key: format!("live/{}", name(job)),
+        value,
+        stamp: Stamp(7),
+    };
+    let page = |items: Vec<Item>, more: bool| {
+        Outcome::Page(Page {
+            items,
+            more,
+            revision: Stamp(9),
+        })
+    };
+    assert_eq!(desk.asked.len(), 1);
+    assert!(matches!(&desk.asked[0].0, Ask::List { after, .. } if after.is_empty()));
+    let first = (1..20).map(|job| item(job, Value::Map(Vec::new())));
+    desk.reply(page(first.collect(), true));
+    assert!(matches!(&desk.asked[0].0, Ask::List { after, .. } if after == "live/job-000019"));
+    // One has its final state in place; the last is no longer there, and its final state is read.
+    let over = OverRecord {
+        state: JobState::Done,
+        tasks: 4,
+    };
+    let mut second: Vec<Item> = (20..29)
+        .map(|job| item(job, Value::Map(Vec::new())))
+        .collect();
+    second.push(item(29, value(&FinalRecord { over })));
+    desk.reply(page(second, false));
+    assert!(matches!(&desk.asked[0].0, Ask::Get(key) if key == "over/job-000030"));
+    desk.reply(Outcome::Item(None));
+    let told: Vec<&str> = asked.iter().map(|id| desk.answers[id].1.as_str()).collect();
+    assert!(told[..28].iter().all(|state| *state == "queued"));
+    assert_eq!(told[28], "done");
+    assert_eq!(desk.answers[&asked[29]].0, 404);
+    // From now on one comparison does.
+    desk.poll(5);
+    assert_eq!(desk.compared(0), 1);
+}
+
 /// A job that is no longer as it was read is read again; the comparison says nothing of the others.
 #[test]
 fn what_has_changed_is_read_again() {
