--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 pub mod leadership;
 mod orders;
 pub mod placement;
+mod preemption;
 mod reports;
 mod watch;
 
--- /dev/null
+++ b/src/coordination/preemption.rs
@@ -0,0 +1,125 @@
+//! Preemption: room for urgent work, made by stopping what loses little by it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::hosts::{Booking, Host, StopWhy};
+use super::jobs::{Job, Resources};
+use super::placement::capacity;
+use super::Controller;
+use crate::protocol::users::{JobSpec, Priority};
+use crate::types::{seconds, HostName, TaskId, Time};
+
+/// A task is preempted only if it loses no more than this.
+const PREEMPT_LOSS_S: f64 = 4.0;
+/// So it is with work of the lowest priority, which is there to use what idles.
+const IDLE_LOSS_S: f64 = 20.0;
+/// A task that ends so soon is not worth stopping.
+const SOON_S: f64 = 5.0;
+/// A job that has waited too long has begun once so many of its tasks have run for so long.
+const FEW: u32 = 4;
+const BEGUN_S: f64 = 30.0;
+/// Machines on which room is made at once.
+const MAX_PREEMPTED: usize = 24;
+/// How often room is looked for by preemption.
+const PREEMPT_EVERY: Duration = Duration::from_millis(250);
+
+impl Controller {
+    /// Makes room for a job of higher priority by stopping tasks of lower priority that lose little by
+    /// it. The next pass sees what came of it.
+    pub(super) fn preempt(&mut self, job: &Job, spec: &JobSpec, usable: &[bool], now: Time) {
+        let under_way = |h: &Host| {
+            let mut bookings = h.bookings.values();
+            bookings.any(|b| b.stop == Some(StopWhy::Preempted))
+        };
+        let lowest = spec.priority == Priority::Low;
+        if spec.one_zone || spec.spread || lowest || now < self.preempt_at {
+            return;
+        }
+        self.preempt_at = now.after(PREEMPT_EVERY);
+        if self.hosts.values().any(under_way) {
+            return;
+        }
+        let room = self.team_room(job).min(u64::from(job.placeable()));
+        let most = (room as usize).min(MAX_PREEMPTED);
+        let mut ways: Vec<(f64, HostName, Vec<TaskId>)> = Vec::new();
+        for host in self.hosts.values() {
+            let suits = host.kind.is_some_and(|k| usable.get(k) == Some(&true));
+            let open = suits && self.is_open(host, now) && (spec.spot || !host.spot);
+            if open && Self::zone_allowed(spec, &host.zone, &BTreeMap::new()) {
+                let way = self.way_to_room(host, job, spec, now);
+                ways.extend(way.map(|(lost, tasks)| (lost, host.name.clone(), tasks)));
+            }
+        }
+        ways.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (lost, name, tasks) in ways.into_iter().take(most) {
+            log::debug!(
+                "{}: {} tasks on {name} make room, {lost} s lost",
+                job.id,
+                tasks.len()
+            );
+            for task in tasks {
+                self.stop(&name, task, StopWhy::Preempted, now);
+            }
+        }
+    }
+
+    /// The tasks on the machine whose stopping makes room for one of the job, and the run time that
+    /// is lost by it.
+    fn way_to_room(
+        &self,
+        host: &Host,
+        job: &Job,
+        spec: &JobSpec,
+        now: Time,
+    ) -> Option<(f64, Vec<TaskId>)> {
+        let kind = self.types.get(host.kind?)?;
+        let mut victims: Vec<(f64, TaskId, Resources)> = host
+            .bookings
+            .iter()
+            .filter_map(|(task, b)| {
+                let lost = self.loss(*task, b, spec.priority, now)?;
+                Some((lost, *task, b.need))
+            })
+            .collect();
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut free = capacity(kind).minus(&host.used);
+        let mut lost = 0.0;
+        let mut stopped = Vec::new();
+        for (loss, task, need) in victims {
+            if job.need.fits(&free) {
+                break;
+            }
+            free.add(&need);
+            lost += loss * need.cpus;
+            stopped.push(task);
+        }
+        (job.need.fits(&free) && !stopped.is_empty()).then_some((lost, stopped))
+    }
+
+    /// The run time that a task would lose; `None` if it may not, or had better not, be stopped.
+    fn loss(&self, task: TaskId, booking: &Booking, by: Priority, now: Time) -> Option<f64> {
+        let job = self.jobs.get(&task.job)?;
+        let spec = job.spec.as_ref()?;
+        let ran = booking.started.map_or(0.0, |s| now.since(s).as_secs_f64());
+        // One that saves when it is stopped loses the time that takes.
+        let saves = spec.checkpoint_s.0 > 0.0;
+        let lost = if saves { spec.save_s.0.min(ran) } else { ran };
+        let may = spec.priority > by && booking.stop.is_none();
+        // The first tasks of a job that has waited too long are to have begun for good.
+        let starve_after = seconds(self.rules.tuning.starve_after_s);
+        let waited = Duration::from_millis(self.day_ms.saturating_sub(job.at_ms));
+        let young = ran < BEGUN_S && job.done == 0 && job.booked <= FEW;
+        if waited >= starve_after && young {
+            return None;
+        }
+        // What ends by itself that soon makes room without being stopped.
+        let ends = self.expected_rest(job, booking.started, now) < SOON_S;
+        let most = if spec.priority == Priority::Low {
+            IDLE_LOSS_S
+        } else {
+            PREEMPT_LOSS_S
+        };
+        (may && !ends && lost <= most).then_some(lost)
+    }
+}
