--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -24,6 +24,15 @@
 /// How often room is looked for by preemption.
 const PREEMPT_EVERY: Duration = Duration::from_millis(250);
 
+/// How one machine could make room.
+struct Way {
+    /// All that would be stopped is of the lowest priority.
+    idle: bool,
+    lost: f64,
+    name: HostName,
+    tasks: Vec<TaskId>,
+}
+
 impl Controller {
     /// Makes room for a job of higher priority by stopping tasks of lower priority that lose little by
     /// it. The next pass sees what came of it.
@@ -42,17 +51,28 @@
         }
         let room = self.team_room(job).min(u64::from(job.placeable()));
         let most = (room as usize).min(MAX_PREEMPTED);
-        let mut ways: Vec<(f64, HostName, Vec<TaskId>)> = Vec::new();
+        let mut ways: Vec<Way> = Vec::new();
         for host in self.hosts.values() {
             let suits = host.kind.is_some_and(|k| usable.get(k) == Some(&true));
             let open = suits && self.is_open(host, now) && (spec.spot || !host.spot);
             if open && Self::zone_allowed(spec, &host.zone, &BTreeMap::new()) {
-                let way = self.way_to_room(host, job, spec, now);
-                ways.extend(way.map(|(lost, tasks)| (lost, host.name.clone(), tasks)));
+                ways.extend(self.way_to_room(host, job, spec, now));
             }
         }
-        ways.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (lost, name, tasks) in ways.into_iter().take(most) {
+        ways.sort_by(|a, b| {
+            a.idle
+                .cmp(&b.idle)
+                .reverse()
+                .then(a.lost.total_cmp(&b.lost))
+        });
+        // Only what is there to use what idles makes room on many machines at once: the others' tasks
+        // have just begun, and their images were fetched for nothing.
+        let idle = ways.iter().filter(|w| w.idle).count();
+        let many = idle.min(most).max(1);
+        for way in ways.into_iter().take(many) {
+            let Way {
+                lost, name, tasks, ..
+            } = way;
             log::debug!(
                 "{}: {} tasks on {name} make room, {lost} s lost",
                 job.id,
@@ -66,13 +86,7 @@
 
     /// The tasks on the machine whose stopping makes room for one of the job, and the run time that
     /// is lost by it.
-    fn way_to_room(
-        &self,
-        host: &Host,
-        job: &Job,
-        spec: &JobSpec,
-        now: Time,
-    ) -> Option<(f64, Vec<TaskId>)> {
+    fn way_to_room(&self, host: &Host, job: &Job, spec: &JobSpec, now: Time) -> Option<Way> {
         let kind = self.types.get(host.kind?)?;
         let mut victims: Vec<(f64, TaskId, Resources)> = host
             .bookings
@@ -94,7 +108,16 @@
             lost += loss * need.cpus;
             stopped.push(task);
         }
-        (job.need.fits(&free) && !stopped.is_empty()).then_some((lost, stopped))
+        let lowest = |task: &TaskId| {
+            let job = self.jobs.get(&task.job);
+            job.is_some_and(|j| j.priority() == Priority::Low)
+        };
+        (job.need.fits(&free) && !stopped.is_empty()).then(|| Way {
+            idle: stopped.iter().all(lowest),
+            lost,
+            name: host.name.clone(),
+            tasks: stopped,
+        })
     }
 
     /// The run time that a task would lose; `None` if it may not, or had better not, be stopped.
