--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -40,8 +40,6 @@
     rentals: BTreeMap<String, OpenRental>,
     /// Markets that had nothing to give, until when they are left alone.
     closed: BTreeMap<Market, Time>,
-    /// Machines of a market that never came up, since the last that did.
-    undelivered: BTreeMap<Market, u32>,
     to_release: VecDeque<HostName>,
     releasing: BTreeSet<HostName>,
     release_at: Time,
@@ -104,10 +102,6 @@
 /// processor at any size.
 const LOOK_PER_HOST: Duration = Duration::from_micros(500);
 const CLOSED_FOR: Duration = Duration::from_secs(15);
-/// After so many machines that never came up a market is left alone for a while, and after each
-/// further one: another one may deliver.
-const UNDELIVERED: u32 = 3;
-const UNDELIVERED_FOR: Duration = Duration::from_secs(60);
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
 impl Fleet {
@@ -117,7 +111,6 @@
             counter: 0,
             rentals: BTreeMap::new(),
             closed: BTreeMap::new(),
-            undelivered: BTreeMap::new(),
             to_release: VecDeque::new(),
             releasing: BTreeSet::new(),
             release_at: Time::default(),
@@ -290,22 +283,6 @@
         self.rent(&scarce, now);
     }
 
-    /// A machine of the market was given up before it ever came up, or came up.
-    pub(super) fn delivered(&mut self, market: Market, came: bool, now: Time) {
-        if came {
-            self.fleet.undelivered.remove(&market);
-            return;
-        }
-        let missing = self.fleet.undelivered.entry(market.clone()).or_default();
-        *missing += 1;
-        if *missing >= UNDELIVERED {
-            let (kind, zone, spot) = &market;
-            let kind = self.types.get(*kind).map_or("", |t| t.name.as_str());
-            log::info!("{missing} machines never came up: {kind}, {zone}, spot {spot}");
-            self.fleet.closed.insert(market, now.after(UNDELIVERED_FOR));
-        }
-    }
-
     fn send_releases(&mut self, now: Time) {
         if self.fleet.to_release.is_empty() || now < self.fleet.release_at {
             return;
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -114,11 +114,7 @@
             host.up_at = Some(now);
             host.idle_since = host.bookings.is_empty().then_some(now);
         }
-        let first = host.up_at == Some(now) && host.life == Life::Expected;
         self.describe(host, report);
-        if let Some(kind) = host.kind.filter(|_| first) {
-            self.delivered((kind, host.zone.clone(), host.spot), true, now);
-        }
         let before = host.ear;
         if host.token < report.token || !own {
             host.heeded();
--- a/src/coordination/watch.rs
+++ b/src/coordination/watch.rs
@@ -64,14 +64,9 @@
                     host.life,
                     host.bookings.len()
                 );
-                let never = host.life == Life::Expected && host.up_at.is_none();
-                let market = host.kind.map(|kind| (kind, host.zone.clone(), host.spot));
                 host.cordon(why);
                 host.enter(Life::Releasing);
                 self.fleet.release(name);
-                if let Some(market) = market.filter(|_| never) {
-                    self.delivered(market, false, now);
-                }
             }
         }
     }
