--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -29,6 +29,10 @@
     format!("over/{job}")
 }
 
+pub fn run_prefix(job: JobId) -> String {
+    format!("{RUN}{job}/")
+}
+
 pub fn run_key(job: JobId, chunk: u32) -> String {
     format!("{RUN}{job}/{chunk:05}")
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -186,6 +186,9 @@
 const EARLY_PART: u32 = 4;
 /// Cancelled jobs remembered by a node's word.
 const MAX_CANCELLED: usize = 2000;
+/// A new leader that can't read the records answers workers for this part of what cancellations have
+/// beyond a worker's lease. The rest is for those confirmed just before its term.
+const BLIND_PART: f64 = 0.6;
 /// A failure on a machine keeps the job's tasks away from it for this long.
 const AVOID: Duration = Duration::from_secs(20);
 
@@ -297,11 +300,32 @@
         if self.cancelled.insert(id, now).is_none() {
             self.on_job_gone(id, now);
         }
-        while self.cancelled.len() > MAX_CANCELLED {
-            self.cancelled.pop_first();
+        if self.cancelled.len() > MAX_CANCELLED {
+            let oldest = self.cancelled.iter().min_by_key(|(_, at)| **at);
+            if let Some(oldest) = oldest.map(|(job, _)| *job) {
+                self.cancelled.remove(&oldest);
+            }
         }
     }
 
+    /// Whether no other leader can keep a task of the cancelled job going: the workers that may hold one
+    /// have seen our token, so they obey nobody from before. Whoever comes after us reads the records.
+    pub fn alone_commands(&self, id: JobId) -> bool {
+        let Some(job) = self.jobs.get(&id).filter(|j| j.booked > 0) else {
+            return true;
+        };
+        let mut hosts = job.booked_hosts().filter_map(|name| self.hosts.get(name));
+        hosts.all(|host| host.token == self.term)
+    }
+
+    /// The records, and so the cancellations from before our term, have been out of reach for long. Each
+    /// answer would keep cancelled work alive, and nobody else is left who knows of it; without one it
+    /// ends with its worker's lease, just in time.
+    pub fn is_blind(&self, now: Time) -> bool {
+        let spare = self.rules.cancel.saturating_sub(self.rules.lease);
+        self.phase == Phase::Loading && now.since(self.started_at) > spare.mul_f64(BLIND_PART)
+    }
+
     /// Its record is gone: cancelled by its user, unless it was this leader that finished it.
     pub fn on_job_gone(&mut self, id: JobId, now: Time) {
         let Some(job) = self.jobs.get_mut(&id) else {
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -7,7 +7,7 @@
 use super::jobs::{Job, JobPhase, TaskState};
 use super::{Controller, Deposed, Phase};
 use crate::protocol::users::JobSpec;
-use crate::protocol::workers::{Cause, Order, Report, TaskReport, TaskState as Reported};
+use crate::protocol::workers::{stops, Cause, Order, Report, TaskReport, TaskState as Reported};
 use crate::types::{seconds, Attempt, Session, TaskId, Tick, Time};
 
 const LEARN_KEEP: f64 = 0.98;
@@ -36,7 +36,7 @@
         if self.phase == Phase::Loading {
             // The token alone keeps the worker's lease alive while the records are read. That may
             // take longer than cancelled work has.
-            return Ok(self.stop_cancelled(report));
+            return Ok(stops(report, |job| self.cancelled.contains_key(&job)));
         }
         let name = report.host.clone();
         if report.token < self.term {
@@ -65,19 +65,6 @@
         Ok(orders)
     }
 
-    /// Stops for what the report shows of jobs that are known to be cancelled.
-    fn stop_cancelled(&self, report: &Report) -> Vec<Order> {
-        let there = report.tasks.iter().filter(|t| t.state != Reported::Ended);
-        there
-            .filter(|t| self.cancelled.contains_key(&t.task.job))
-            .map(|t| Order::Stop {
-                task: t.task,
-                attempt: t.attempt,
-                grace_s: 0.0,
-            })
-            .collect()
-    }
-
     /// A report made before its worker saw our token may be a late copy from long ago, even from
     /// a machine that is gone by now. It proves nothing, not even that there is such a machine; the
     /// answer carries the token, and the next report counts.
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -12,7 +12,7 @@
 use crate::protocol::cloud::MachineType;
 use crate::protocol::encode;
 use crate::protocol::peers::{self, Relay, Relayed};
-use crate::protocol::state::{value, Change, Txn};
+use crate::protocol::state::{value, Change, Item, Txn};
 use crate::protocol::users::{self, JobSpec, JobState, JobStatus, Problem, Submission};
 use crate::settings::Team;
 use crate::transport::{ConnId, Response};
@@ -26,6 +26,8 @@
 const MAX_OPEN: usize = 400;
 /// A request is asked again, as the budget did not suffice, only with so much time left for it.
 const WORTH_ASKING: Duration = Duration::from_millis(100);
+/// Run records read at once, to see whether anything of a cancelled job is booked.
+const BOOKINGS_PAGE: u32 = 400;
 /// Final states kept in memory.
 const MAX_CACHED: usize = 20_000;
 /// The most bytes of submissions in one transaction.
@@ -63,6 +65,10 @@
     ReadingCounts,
     ReadingOver,
     Withdrawing,
+    /// It is cancelled in the records; the leader has to know before the user does.
+    Securing,
+    /// The leader can't be asked, or does not have it in hand: perhaps nothing is booked any more.
+    ReadingBookings,
     /// Another node, which the state service answers, has been asked.
     Relaying,
 }
@@ -92,6 +98,8 @@
     Ask(Class, Ask, FrontAsk),
     Respond(ConnId, Response),
     Relay(FrontId, Relay),
+    /// A user is about to be told that the job is cancelled: see to it that the leader knows.
+    Secure(JobId),
 }
 
 /// What the node knows beside the answers to the front's own requests.
@@ -340,6 +348,15 @@
             Stage::ReadingLive => Ask::Get(records::live_key(job)),
             Stage::ReadingCounts => Ask::Get(records::run_key(job, 0)),
             Stage::ReadingOver => Ask::Get(records::over_key(job)),
+            Stage::ReadingBookings => Ask::List {
+                prefix: records::run_prefix(job),
+                after: String::new(),
+                limit: BOOKINGS_PAGE,
+            },
+            Stage::Securing => {
+                self.acts.push(FrontAct::Secure(job));
+                return;
+            }
             Stage::Queued => {
                 self.queue.push_back(id);
                 return;
@@ -561,10 +578,13 @@
                 self.finish(id, Self::progress(job, done, running));
             }
             (Stage::ReadingOver, Outcome::Item(Some(item))) => match item.record::<OverRecord>() {
-                Some(over) => {
-                    if withdraws && over.state == JobState::Cancelled {
+                Some(over) if over.state == JobState::Cancelled => {
+                    if withdraws {
                         self.cancelled.push(job);
                     }
+                    self.enter(id, Stage::Securing);
+                }
+                Some(over) => {
                     self.remember(job, over);
                     self.finish(id, Self::final_answer(job, over));
                 }
@@ -573,13 +593,19 @@
             // Neither live nor over: as that move is atomic and one-way, it was never accepted.
             (Stage::ReadingOver, Outcome::Item(None)) => self.never_accepted(id),
             (Stage::Withdrawing, Outcome::Applied(_)) => {
-                let over = OverRecord {
-                    state: JobState::Cancelled,
-                    tasks: 0,
-                };
-                self.remember(job, over);
                 self.cancelled.push(job);
-                self.finish(id, Self::final_answer(job, over));
+                self.enter(id, Stage::Securing);
+            }
+            (Stage::ReadingBookings, Outcome::Page(page)) => {
+                let booked = |item: &Item| {
+                    let record: Option<ChunkRecord> = item.record();
+                    record.is_none_or(|r| !r.booked.is_empty())
+                };
+                if page.more || page.items.iter().any(booked) {
+                    self.finish(id, unavailable());
+                } else {
+                    self.tell_cancelled(id, job);
+                }
             }
             // It was finished or withdrawn by another: look again.
             (Stage::Withdrawing, Outcome::Conflict(_)) => {
@@ -594,6 +620,29 @@
         }
     }
 
+    /// The leader's word on a cancellation: whether it has it in hand.
+    pub fn on_secured(&mut self, job: JobId, secured: bool, now: Time) {
+        let waiting = self.open.iter();
+        let waiting = waiting.filter(|(_, o)| o.job == job && o.stage == Stage::Securing);
+        for id in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
+            let late = self.open.get(&id).is_some_and(|open| now >= open.until);
+            if late {
+                self.finish(id, unavailable());
+            } else if secured {
+                self.tell_cancelled(id, job);
+            } else {
+                self.enter(id, Stage::ReadingBookings);
+            }
+        }
+    }
+
+    fn tell_cancelled(&mut self, id: FrontId, job: JobId) {
+        let (state, tasks) = (JobState::Cancelled, 0);
+        let over = OverRecord { state, tasks };
+        self.remember(job, over);
+        self.finish(id, Self::final_answer(job, over));
+    }
+
     fn progress(job: JobId, done: u64, running: u64) -> Response {
         let state = if running > 0 {
             JobState::Running
--- a/src/node/greetings.rs
+++ b/src/node/gossip.rs
@@ -1,23 +1,23 @@
-//! What the controllers tell each other once a second, and what is made of it.
+//! Gossip: what the controllers tell each other once a second, and what is made of it.
 
 use std::time::Duration;
 
-use super::{Node, HEADROOM, HEARD_FOR, HELLO_EVERY, MAX_TOLD};
+use super::{Node, HEADROOM, HEARD_FOR, HELLO_EVERY};
 use crate::bookkeeping::budget::share_of;
 use crate::protocol::peers::{self, Hello};
-use crate::transport::Response;
+use crate::transport::{Network, Response};
 use crate::types::{JobId, Term, Time};
 
-impl Node {
+impl<N: Network> Node<N> {
     pub(super) fn hello(&self) -> Hello {
         Hello {
             from: self.settings.name.clone(),
             term: self.leadership.term.0,
             leader: self.leadership.leader.clone(),
-            state_ok: self.state_answers(self.transport.now()),
+            state_ok: self.state_answers(self.net.now()),
             home: self.home.clone(),
             workers: self.workers.len() as u32,
-            made_room: self.leadership.made_room(self.transport.now()),
+            made_room: self.leadership.made_room(self.net.now()),
             spends: (self.spends.0.ceil() as u32, self.spends.1.ceil() as u32),
             cancelled: self.cancelled_to_tell(),
         }
@@ -35,31 +35,6 @@
         }
     }
 
-    /// The latest cancellations, with what is left of their time: it only gets less on its way from
-    /// node to node, so that none goes round for ever.
-    fn cancelled_to_tell(&self) -> Vec<(u64, u32)> {
-        let now = self.transport.now();
-        let mut latest: Vec<(u64, u32)> = self
-            .cancelled
-            .iter()
-            .map(|(job, until)| (job.0, until.since(now).as_millis() as u32))
-            .collect();
-        latest.sort_by_key(|(_, left)| std::cmp::Reverse(*left));
-        latest.truncate(MAX_TOLD);
-        latest
-    }
-
-    /// Notes that a job is cancelled; its tasks are stopped if this node leads.
-    pub(super) fn on_cancelled(&mut self, job: JobId, left: Duration) {
-        let now = self.transport.now();
-        let until = now.after(left);
-        let known = self.cancelled.entry(job).or_insert(until);
-        *known = until.max(*known);
-        if let Some(office) = &mut self.office {
-            office.controller.on_cancelled(job, now);
-        }
-    }
-
     pub(super) fn term_from_peer(&mut self, hello: &Hello) {
         let most = self.settings.settings.workers.cancel() * 2;
         for (job, left) in &hello.cancelled {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,25 +1,27 @@
 //! A running node: ties transport, records, leadership and decisions together.
 
+mod cancellations;
 pub mod front;
-mod greetings;
+mod gossip;
 mod office;
+mod seat;
 
 use hdrhistogram::Histogram;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use crate::bookkeeping::records::{self, HolderRecord, TermRecord};
 use crate::bookkeeping::store::{Ask, AskId, Class, Outcome, Store};
 use crate::coordination::leadership::{Leadership, Seen, Step, Wish};
-use crate::coordination::{Controller, Deposed, Reach, Rulebook};
+use crate::coordination::{Controller, Deposed, Rulebook};
 use crate::protocol::cloud::{MachineType, MachineTypes};
 use crate::protocol::peers::{self, Hello, Relay};
 use crate::protocol::state::Page;
 use crate::protocol::workers::{Answer, Elsewhere, Report};
 use crate::protocol::{decode, encode};
 use crate::settings::{Settings, Tuning};
-use crate::transport::{CallId, ConnId, Door, Happening, Request, Response, Transport};
+use crate::transport::{CallId, ConnId, Door, Happening, Network, Request, Response, Transport};
 use crate::types::{seconds, HostName, JobId, Stamp, Term, Time};
 use front::{Client, Front, FrontAct, FrontAsk, FrontId, View};
 use office::{Office, OfficeAsk};
@@ -68,10 +70,10 @@
 /// What the nodes together leave of the budgets, for requests that are counted late.
 const HEADROOM: f64 = 0.92;
 
-pub struct Node {
+pub struct Node<N> {
     settings: Settings,
     tuning: Tuning,
-    transport: Transport,
+    net: N,
     store: Store,
     leadership: Leadership,
     office: Option<Office>,
@@ -91,6 +93,9 @@
     spent_at: Time,
     /// Jobs that some node told its user were cancelled, and until when that is worth telling.
     cancelled: BTreeMap<JobId, Time>,
+    /// Cancellations that the leader has to know before a user is told, and the call that asks it.
+    to_secure: BTreeSet<JobId>,
+    securing: Option<(CallId, Vec<JobId>)>,
     /// Workers that reported here lately, and when.
     workers: BTreeMap<HostName, Time>,
     seat_at: Time,
@@ -104,10 +109,9 @@
     turns: Option<Histogram<u64>>,
 }
 
-impl Node {
-    pub fn open(settings: Settings, tuning: Tuning) -> Result<Node, String> {
-        let service = &settings.settings;
-        let sockets = service.resources.sockets;
+impl Node<Transport> {
+    pub fn open(settings: Settings, tuning: Tuning) -> Result<Node<Transport>, String> {
+        let sockets = settings.settings.resources.sockets;
         let mut transport = Transport::new(sockets).map_err(|e| format!("event loop: {e}"))?;
         for (at, door) in [
             (settings.front, Door::Front),
@@ -117,6 +121,31 @@
                 .listen(at, door)
                 .map_err(|e| format!("listening on {at}: {e}"))?;
         }
+        Ok(Node::new(settings, tuning, transport, fastrand::u64(..)))
+    }
+
+    /// Waits for something to happen, and does all that is due.
+    pub fn turn(&mut self) -> Result<(), String> {
+        let until = self.next_wake();
+        self.net
+            .wait(until)
+            .map_err(|e| format!("event loop: {e}"))?;
+        let started = self.turns.is_some().then(Instant::now);
+        while let Some(happening) = self.net.happened() {
+            self.on(happening);
+        }
+        self.attend();
+        if let (Some(turns), Some(started)) = (&mut self.turns, started) {
+            turns.saturating_record(started.elapsed().as_micros() as u64);
+        }
+        Ok(())
+    }
+}
+
+impl<N: Network> Node<N> {
+    /// `incarnation` tells this process from others of the same name, before and after it.
+    pub fn new(settings: Settings, tuning: Tuning, net: N, incarnation: u64) -> Node<N> {
+        let service = &settings.settings;
         let nodes = settings.peers.len() as f64 + 1.0;
         // Bursts: the leader spends the most, but any node may lead, and users reach all of them.
         let share = if nodes > 1.0 {
@@ -126,7 +155,7 @@
         };
         let store = Store::new(service.state.rps * share, service.state.write_rps * share);
         let ttl = seconds(tuning.leader_lease_s);
-        let leadership = Leadership::new(&settings.name, ttl, fastrand::u64(..));
+        let leadership = Leadership::new(&settings.name, ttl, incarnation);
         let front = Front::new(
             service.teams.clone(),
             service.state.value_kb,
@@ -153,8 +182,8 @@
             settings.zone,
             settings.front
         );
-        Ok(Node {
-            transport,
+        Node {
+            net,
             store,
             leadership,
             office: None,
@@ -170,6 +199,8 @@
             spent: (0.0, 0.0),
             spent_at: Time::default(),
             cancelled: BTreeMap::new(),
+            to_secure: BTreeSet::new(),
+            securing: None,
             workers: BTreeMap::new(),
             seat_at: Time::default(),
             state_ok: false,
@@ -179,41 +210,39 @@
             turns,
             settings,
             tuning,
-        })
+        }
     }
 
-    /// Waits for something to happen, and does all that is due.
-    pub fn turn(&mut self) -> Result<(), String> {
-        let now = self.transport.now();
-        let until = now.after(TURN).min(self.leadership.next_wake().max(now));
-        self.transport
-            .wait(until)
-            .map_err(|e| format!("event loop: {e}"))?;
-        let started = self.turns.is_some().then(Instant::now);
-        while let Some(happening) = self.transport.happened() {
-            self.mind_standstill();
-            match happening {
-                Happening::Request {
-                    conn,
-                    door,
-                    request,
-                } => self.on_request(conn, door, request),
-                Happening::Reply { call, result } => self.on_reply(call, result),
-            }
+    /// When the node wants to move again, if nothing happens before.
+    pub fn next_wake(&self) -> Time {
+        let now = self.net.now();
+        now.after(TURN).min(self.leadership.next_wake().max(now))
+    }
+
+    /// Takes in what the outside did.
+    pub fn on(&mut self, happening: Happening) {
+        self.mind_standstill();
+        match happening {
+            Happening::Request {
+                conn,
+                door,
+                request,
+            } => self.on_request(conn, door, request),
+            Happening::Reply { call, result } => self.on_reply(call, result),
         }
+    }
+
+    /// Does all that is due, and sends all that is ready.
+    pub fn attend(&mut self) {
         self.mind_standstill();
         self.due();
         self.pump();
-        if let (Some(turns), Some(started)) = (&mut self.turns, started) {
-            turns.saturating_record(started.elapsed().as_micros() as u64);
-        }
-        Ok(())
     }
 
     /// A process may be halted anywhere while its clock runs on. Nothing here takes as long as a
     /// leader's lease by itself.
     fn mind_standstill(&mut self) {
-        let now = self.transport.now();
+        let now = self.net.now();
         let gap = now.since(self.awake_at);
         self.awake_at = now;
         if gap < seconds(self.tuning.leader_lease_s) {
@@ -228,7 +257,7 @@
     // ---- requests
 
     fn on_request(&mut self, conn: ConnId, door: Door, request: Request) {
-        let now = self.transport.now();
+        let now = self.net.now();
         let path = request.target.split('?').next().unwrap_or("");
         let method = request.method.as_str();
         if door == Door::Internal {
@@ -248,44 +277,46 @@
                 } else {
                     Response::later(503, 1)
                 };
-                self.transport.respond(conn, &response);
+                self.net.respond(conn, &response);
             }
             ("POST", "/agent/beat", ..) => {
                 let response = self.on_beat(&request.body);
-                self.transport.respond(conn, &response);
+                self.net.respond(conn, &response);
             }
             ("POST", "/api/jobs", ..) => {
-                self.front
-                    .submit(client, &request.body, &self.types, time_of_day(), now);
+                self.front.submit(
+                    client,
+                    &request.body,
+                    &self.types,
+                    self.net.time_of_day(),
+                    now,
+                );
             }
             ("POST", _, _, Some(id)) => self.front.withdraw(client, id, now),
             ("GET", _, Some(id), None) if !id.contains('/') => self.front.poll(client, id, now),
             (_, "/healthz" | "/agent/beat" | "/api/jobs", ..) | (_, _, _, Some(_)) => {
-                self.transport
-                    .respond(conn, &Response::new(405, Vec::new()));
+                self.net.respond(conn, &Response::new(405, Vec::new()));
             }
             (_, _, Some(id), None) if !id.contains('/') => {
-                self.transport
-                    .respond(conn, &Response::new(405, Vec::new()));
+                self.net.respond(conn, &Response::new(405, Vec::new()));
             }
-            _ => self
-                .transport
-                .respond(conn, &Response::new(404, Vec::new())),
+            _ => self.net.respond(conn, &Response::new(404, Vec::new())),
         }
     }
 
     fn on_peer_request(&mut self, conn: ConnId, method: &str, path: &str, body: &[u8]) {
-        let now = self.transport.now();
+        let now = self.net.now();
         let client = Client {
             conn,
             relayed: true,
         };
         let response = match (method, path) {
             ("POST", peers::HELLO) => self.on_hello(body),
+            ("POST", peers::CANCELLED) => self.on_told_cancelled(body),
             ("POST", peers::RELAY) => match peers::decode(body) {
                 Some(Relay::Submit(job)) => {
                     self.front
-                        .submit(client, &job, &self.types, time_of_day(), now);
+                        .submit(client, &job, &self.types, self.net.time_of_day(), now);
                     return;
                 }
                 Some(Relay::Poll(id)) => return self.front.poll(client, &id, now),
@@ -294,12 +325,12 @@
             },
             _ => Response::new(404, Vec::new()),
         };
-        self.transport.respond(conn, &response);
+        self.net.respond(conn, &response);
     }
 
     /// Passes a user's request on to a node that the state service answers.
     fn relay(&mut self, id: FrontId, relay: &Relay) {
-        let now = self.transport.now();
+        let now = self.net.now();
         let state_ok = |p: &Peer| p.heard.as_ref().is_some_and(|(_, h)| h.state_ok);
         let fit = self
             .peers
@@ -310,7 +341,7 @@
         };
         let body = peers::encode(relay);
         let call = self
-            .transport
+            .net
             .call(peer.addr, "POST", peers::RELAY, &body, RELAY_LIMIT);
         self.relays.insert(call, id);
     }
@@ -323,11 +354,14 @@
                 return Response::new(400, Vec::new());
             }
         };
-        let now = self.transport.now();
+        let now = self.net.now();
         if self.workers.len() < MAX_WORKERS {
             self.workers.insert(report.host.clone(), now);
         }
         if let Some(office) = &mut self.office {
+            if office.controller.is_blind(now) {
+                return Response::later(503, 1);
+            }
             match office.controller.on_report(&report, now) {
                 Ok(orders) => {
                     let token = office.controller.term;
@@ -346,7 +380,8 @@
             self.grant(wish);
         }
         if let Some(token) = self.stands_in(report.token, now) {
-            return Response::new(200, encode(&Answer { token, orders: &[] }));
+            let orders = &self.stops_of_cancelled(&report);
+            return Response::new(200, encode(&Answer { token, orders }));
         }
         let leader = self.leadership.leader.as_deref();
         let leader = leader.filter(|l| *l != self.settings.name);
@@ -355,7 +390,7 @@
 
     /// The token to answer a worker with on the leader's behalf: the state service has just said
     /// that it leads, but it can't be heard from here, so the worker could not reach it either and
-    /// would lose its tasks with its lease. No orders are given.
+    /// would lose its tasks with its lease. Nothing is started, only cancelled work is stopped.
     fn stands_in(&self, seen: Term, now: Time) -> Option<Term> {
         let (term, leader) = self.leadership.confirmed(now)?;
         let at = self.settings.peers.iter().position(|p| p.name == leader)?;
@@ -394,7 +429,7 @@
     // ---- replies
 
     fn on_reply(&mut self, call: CallId, result: Result<Response, crate::transport::CallError>) {
-        let now = self.transport.now();
+        let now = self.net.now();
         if let Some(peer) = self.peers.iter_mut().find(|p| p.call == Some(call)) {
             peer.call = None;
             if let Some(hello) = result.ok().and_then(|r| peers::decode::<Hello>(&r.body)) {
@@ -404,6 +439,9 @@
             }
             return;
         }
+        if self.securing.as_ref().is_some_and(|(c, _)| *c == call) {
+            return self.on_secured(result);
+        }
         if let Some(id) = self.relays.remove(&call) {
             let answer = result.ok().filter(|r| r.status == 200);
             let relayed = answer.and_then(|r| peers::decode(&r.body));
@@ -428,14 +466,14 @@
             return;
         }
         if let (Some(office), Some(result)) = (&mut self.office, result) {
-            if let Err(Deposed(term)) = office.on_reply(&mut self.transport, call, result, now) {
+            if let Err(Deposed(term)) = office.on_reply(&mut self.net, call, result, now) {
                 self.deposed(term);
             }
         }
     }
 
     fn on_outcome(&mut self, id: AskId, outcome: Outcome) {
-        let now = self.transport.now();
+        let now = self.net.now();
         match self.purposes.remove(&id) {
             None => {}
             Some(Purpose::Lead(Step::Read, sent)) => {
@@ -487,17 +525,14 @@
         if self.types_call.is_none() && self.types.is_empty() {
             let cloud = self.settings.outside.cloud;
             let limit = Duration::from_secs(4);
-            self.types_call = Some(
-                self.transport
-                    .call(cloud, "GET", "/machine_types", &[], limit),
-            );
+            self.types_call = Some(self.net.call(cloud, "GET", "/machine_types", &[], limit));
         }
     }
 
     // ---- leadership
 
     fn grant(&mut self, wish: Option<Wish>) {
-        let now = self.transport.now();
+        let now = self.net.now();
         let Some(wish) = wish else { return };
         let (step, ask) = match wish {
             Wish::Read => {
@@ -552,88 +587,10 @@
         }
     }
 
-    /// Where the leader sits matters when zones are cut apart: workers that can't reach it lose
-    /// their work. So nodes of the zone with the most machines go first, and a leader elsewhere, or
-    /// one that most workers don't reach, makes room.
-    fn consider_seat(&mut self, now: Time) {
-        self.workers.retain(|_, at| now.since(*at) < WORKERS_FOR);
-        if self.home.is_none() {
-            self.home = widest_zone(&self.types);
-        }
-        let several = self.settings.settings.zones.len() > 1;
-        let at_home = self.home.as_ref().is_none_or(|z| *z == self.settings.zone);
-        let unsure = several && self.types.is_empty() && self.leadership.term == Term(0);
-        self.leadership.handicap = if unsure {
-            HANDICAP * 2
-        } else if several && !at_home {
-            HANDICAP
-        } else {
-            Duration::ZERO
-        };
-        let unheard = self.unheard_zones(now);
-        let Some(office) = &mut self.office else {
-            return;
-        };
-        office.controller.unheard_zones = unheard;
-        let reach = office.controller.reach(now);
-        if reach.home.is_some() {
-            self.home.clone_from(&reach.home);
-        }
-        let fit = |h: &Hello, at: Time| h.state_ok && now.since(at) < HEARD_FOR;
-        let mut peers = self.settings.peers.iter().zip(&self.peers);
-        let at_better = peers.any(|(named, peer)| {
-            peer.heard.as_ref().is_some_and(|(at, h)| {
-                let hears_more = h.workers as usize > reach.heard && !h.made_room;
-                let hears_more = hears_more && reach.is_cut_off();
-                let at_home = several && !at_home && Some(&named.zone) == self.home.as_ref();
-                fit(h, *at) && (hears_more || at_home)
-            })
-        });
-        if at_better {
-            self.better_since.get_or_insert(now);
-        } else {
-            self.better_since = None;
-        }
-        let calm = self.better_since.is_some_and(|at| now.since(at) >= CALM);
-        // Cut off from the home zone, its nodes can't be heard either; they will find the key free.
-        // Unless one of our own zone has just tried that in vain.
-        let in_vain = self
-            .settings
-            .peers
-            .iter()
-            .zip(&self.peers)
-            .any(|(named, peer)| {
-                let made_room = peer.heard.as_ref().is_some_and(|(_, h)| h.made_room);
-                named.zone == self.settings.zone && made_room
-            });
-        let away = several && !at_home && !in_vain;
-        let cut_off = reach.is_cut_off() && (away || at_better);
-        if (calm || cut_off) && self.leadership.is_certain(now) {
-            self.better_since = None;
-            let wish = self.leadership.resign(now);
-            if wish.is_some() {
-                let Reach { heard, known, .. } = reach;
-                log::info!("{heard} of {known} machines are heard here: making room");
-            }
-            self.grant(wish);
-        }
-    }
-
-    /// Zones of which no node can be heard.
-    fn unheard_zones(&self, now: Time) -> Vec<String> {
-        let named = || self.settings.peers.iter().zip(&self.peers);
-        let heard = |zone: &str| {
-            *zone == self.settings.zone
-                || named().any(|(n, p)| n.zone == zone && self.hears(p, now))
-        };
-        let zones = named().map(|(n, _)| n.zone.clone());
-        zones.filter(|z| !heard(z)).collect()
-    }
-
     // ---- time
 
     fn due(&mut self) {
-        let now = self.transport.now();
+        let now = self.net.now();
         let wish = self.leadership.tick(now);
         self.grant(wish);
         let hello = peers::encode(&self.hello());
@@ -641,9 +598,9 @@
             if peer.call.is_none() && now >= peer.due {
                 peer.due = now.after(HELLO_EVERY);
                 peer.greeted = now;
-                let call =
-                    self.transport
-                        .call(peer.addr, "POST", peers::HELLO, &hello, HELLO_LIMIT);
+                let call = self
+                    .net
+                    .call(peer.addr, "POST", peers::HELLO, &hello, HELLO_LIMIT);
                 peer.call = Some(call);
             }
         }
@@ -686,13 +643,13 @@
     }
 
     fn tell(&mut self) {
-        let (waiting, oldest) = self.store.backlog(self.transport.now());
+        let (waiting, oldest) = self.store.backlog(self.net.now());
         log::debug!("state service: {waiting} requests wait, the oldest for {oldest:?}");
-        let (open, most) = self.transport.sockets();
+        let (open, most) = self.net.sockets();
         log::debug!("sockets: {open} of {most}");
         if let Some(office) = &self.office {
             log::info!("{}", office.controller.summary());
-            if let Some(wait) = office.controller.longest_wait(self.transport.now()) {
+            if let Some(wait) = office.controller.longest_wait(self.net.now()) {
                 log::info!("{wait}");
             }
             let (urgent, others) = office.controller.ledger.backlog();
@@ -712,10 +669,10 @@
 
     /// Sends all that is ready and allowed.
     fn pump(&mut self) {
-        let now = self.transport.now();
+        let now = self.net.now();
         if let Some(office) = &mut self.office {
             office.controller.valid_until = self.leadership.valid_until();
-            office.turn(&mut self.transport, &mut self.store.writes, now);
+            office.turn(&mut self.net, &mut self.store.writes, now);
             let term = office.controller.term;
             for (class, ask, limit, what) in office.take_wishes() {
                 let id = self.store.ask(now, class, ask, limit);
@@ -724,7 +681,7 @@
         }
         self.flush_front(now);
         loop {
-            let now = self.transport.now();
+            let now = self.net.now();
             let may_book = self.leadership.is_certain(now);
             let Some(next) = self.store.next_outgoing(now, may_book) else {
                 return;
@@ -732,9 +689,9 @@
             match next {
                 Ok(out) => {
                     let state = self.settings.outside.state;
-                    let call =
-                        self.transport
-                            .call(state, out.method, &out.target, &out.body, out.limit);
+                    let call = self
+                        .net
+                        .call(state, out.method, &out.target, &out.body, out.limit);
                     self.store.sent_as(out.id, call);
                 }
                 Err(id) => {
@@ -756,7 +713,8 @@
             for act in acts {
                 match act {
                     FrontAct::Relay(id, relay) => self.relay(id, &relay),
-                    FrontAct::Respond(conn, response) => self.transport.respond(conn, &response),
+                    FrontAct::Secure(job) => self.secure(job),
+                    FrontAct::Respond(conn, response) => self.net.respond(conn, &response),
                     FrontAct::Ask(class, ask, what) => {
                         // Where nothing is answered another node is asked without much ado.
                         let limit = if self.state_answers(now) {
@@ -784,19 +742,3 @@
     }
     seen
 }
-
-/// The zone that offers the most machine types: a first guess at where the machines will be.
-fn widest_zone(types: &[MachineType]) -> Option<String> {
-    let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
-    for zone in types.iter().flat_map(|t| &t.zones) {
-        *zones.entry(zone).or_default() += 1;
-    }
-    let widest = zones.iter().max_by_key(|(_, count)| **count);
-    widest.map(|(zone, _)| (*zone).to_owned())
-}
-
-fn time_of_day() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |d| d.as_millis() as u64)
-}
--- a/src/node/office.rs
+++ b/src/node/office.rs
@@ -14,7 +14,7 @@
 use crate::protocol::state::{value, Change, Item, Page, Txn};
 use crate::protocol::workers::{Command, Order};
 use crate::protocol::{decode, encode};
-use crate::transport::{CallError, CallId, Response, Transport};
+use crate::transport::{CallError, CallId, Network, Response};
 use crate::types::{HostName, JobId, Session, Stamp, Time};
 
 /// Which request to the state service an outcome answers.
@@ -144,6 +144,11 @@
         std::mem::take(&mut self.wishes)
     }
 
+    /// Whether all records have been read.
+    pub fn has_loaded(&self) -> bool {
+        self.loaded
+    }
+
     fn read_live(&mut self, after: String) {
         let ask = Ask::List {
             prefix: records::LIVE.to_owned(),
@@ -319,14 +324,14 @@
     // ---- time
 
     /// Everything that is due: decisions, the next batch, calls to workers and the cloud.
-    pub fn turn(&mut self, transport: &mut Transport, writes: &mut Budget, now: Time) {
+    pub fn turn(&mut self, net: &mut impl Network, writes: &mut Budget, now: Time) {
         if now >= self.decide_at {
-            self.controller.tick(now, super::time_of_day());
+            self.controller.tick(now, net.time_of_day());
             // However much there is to decide, reports and users get most of the time.
-            let end = transport.now();
+            let end = net.now();
             self.decide_at = end.after((end.since(now) * 3).min(LONGEST_PAUSE));
         }
-        if self.may_act(transport) {
+        if self.may_act(net) {
             self.commit(writes, now);
         }
         for (job, chunk) in self.controller.ledger.take_unsure() {
@@ -338,19 +343,19 @@
                 OfficeAsk::Reread(job, chunk),
             ));
         }
-        if self.may_act(transport) {
-            self.chores(transport, now);
+        if self.may_act(net) {
+            self.chores(net, now);
         }
         let mut actions = std::mem::take(&mut self.waiting);
         actions.extend(self.controller.take_actions());
         for action in actions {
-            self.act(transport, action, now);
+            self.act(net, action, now);
         }
     }
 
     /// Asks the clock anew: the turn may have begun long ago.
-    fn may_act(&self, transport: &Transport) -> bool {
-        transport.now() < self.controller.valid_until
+    fn may_act(&self, net: &impl Network) -> bool {
+        net.now() < self.controller.valid_until
     }
 
     fn commit(&mut self, writes: &mut Budget, now: Time) {
@@ -376,38 +381,31 @@
         }
     }
 
-    fn chores(&mut self, transport: &mut Transport, now: Time) {
+    fn chores(&mut self, net: &mut impl Network, now: Time) {
         if self.cloud_budget.available(now) < 2.0 {
             return;
         }
         if self.types.starts(now) {
-            self.ask_cloud(
-                transport,
-                "GET",
-                "/machine_types",
-                &[],
-                OfficeCall::Types,
-                now,
-            );
+            self.ask_cloud(net, "GET", "/machine_types", &[], OfficeCall::Types, now);
         }
         if self.list.starts(now) {
             self.listing.clear();
-            self.list_page(transport, "", now);
+            self.list_page(net, "", now);
         }
     }
 
-    fn list_page(&mut self, transport: &mut Transport, after: &str, now: Time) {
+    fn list_page(&mut self, net: &mut impl Network, after: &str, now: Time) {
         let target = if after.is_empty() {
             format!("/hosts?page={LIST_PAGE}")
         } else {
             format!("/hosts?after={after}&page={LIST_PAGE}")
         };
-        self.ask_cloud(transport, "GET", &target, &[], OfficeCall::List, now);
+        self.ask_cloud(net, "GET", &target, &[], OfficeCall::List, now);
     }
 
     fn ask_cloud(
         &mut self,
-        transport: &mut Transport,
+        net: &mut impl Network,
         method: &str,
         target: &str,
         body: &[u8],
@@ -415,16 +413,16 @@
         now: Time,
     ) {
         self.cloud_budget.spend(now, 1.0);
-        let call = transport.call(self.cloud, method, target, body, CLOUD_LIMIT);
+        let call = net.call(self.cloud, method, target, body, CLOUD_LIMIT);
         self.calls.insert(call, what);
     }
 
-    fn may_ask_cloud(&mut self, transport: &Transport, action: &Action, now: Time) -> bool {
+    fn may_ask_cloud(&mut self, net: &impl Network, action: &Action, now: Time) -> bool {
         let pressing = matches!(action, Action::Remove(_));
-        self.cloud_budget.available(now) >= 1.0 && (pressing || self.may_act(transport))
+        self.cloud_budget.available(now) >= 1.0 && (pressing || self.may_act(net))
     }
 
-    fn act(&mut self, transport: &mut Transport, action: Action, now: Time) {
+    fn act(&mut self, net: &mut impl Network, action: Action, now: Time) {
         match action {
             Action::Command {
                 host,
@@ -433,7 +431,7 @@
                 orders,
             } => {
                 let starts = orders.iter().any(|o| matches!(o, Order::Run { .. }));
-                if starts && !self.may_act(transport) {
+                if starts && !self.may_act(net) {
                     // It brings no report, so it can't tell of another leader either.
                     let result = CommandResult::HeldBack;
                     let _ = self
@@ -447,7 +445,7 @@
                     session,
                     orders: &orders,
                 });
-                let call = transport.call(to, "POST", "/commands", &body, COMMAND_LIMIT);
+                let call = net.call(to, "POST", "/commands", &body, COMMAND_LIMIT);
                 self.calls.insert(
                     call,
                     OfficeCall::Command {
@@ -457,25 +455,18 @@
                     },
                 );
             }
-            action if !self.may_ask_cloud(transport, &action, now) => {
+            action if !self.may_ask_cloud(net, &action, now) => {
                 self.waiting.push(action);
             }
             Action::Rent(rental) => {
                 let body = encode(&rental);
-                self.ask_cloud(
-                    transport,
-                    "POST",
-                    "/hosts",
-                    &body,
-                    OfficeCall::Rent(rental),
-                    now,
-                );
+                self.ask_cloud(net, "POST", "/hosts", &body, OfficeCall::Rent(rental), now);
             }
             Action::Release(hosts) | Action::Remove(hosts) => {
                 let names = HostNames { hosts };
                 let body = encode(&names);
                 let what = OfficeCall::Release(names.hosts);
-                self.ask_cloud(transport, "POST", "/hosts/release", &body, what, now);
+                self.ask_cloud(net, "POST", "/hosts/release", &body, what, now);
             }
         }
     }
@@ -483,7 +474,7 @@
     /// Takes the reply to one of the office's calls; `None` if it was not its call.
     pub fn on_reply(
         &mut self,
-        transport: &mut Transport,
+        net: &mut impl Network,
         call: CallId,
         result: Result<Response, CallError>,
         now: Time,
@@ -513,7 +504,7 @@
                 let confirmed = matches!(&result, Ok(r) if r.status == 200);
                 self.controller.on_released(&names, confirmed, now);
             }
-            OfficeCall::List => self.on_list(transport, result, now),
+            OfficeCall::List => self.on_list(net, result, now),
             OfficeCall::Types => {
                 self.types.busy = false;
                 let types = result.ok().filter(|r| r.status == 200);
@@ -526,12 +517,7 @@
         Ok(())
     }
 
-    fn on_list(
-        &mut self,
-        transport: &mut Transport,
-        result: Result<Response, CallError>,
-        now: Time,
-    ) {
+    fn on_list(&mut self, net: &mut impl Network, result: Result<Response, CallError>, now: Time) {
         let page = result
             .ok()
             .filter(|r| r.status == 200)
@@ -544,7 +530,7 @@
         self.listing.extend(page.hosts);
         let last = self.listing.last().map(|h| h.name.clone());
         if let Some(last) = last.filter(|_| more) {
-            self.list_page(transport, last.as_str(), now);
+            self.list_page(net, last.as_str(), now);
             return;
         }
         self.list.busy = false;
--- /dev/null
+++ b/src/node/seat.rs
@@ -0,0 +1,101 @@
+//! Where the leader sits: near the machines, and where it hears most of them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{Node, CALM, HANDICAP, HEARD_FOR, WORKERS_FOR};
+use crate::coordination::Reach;
+use crate::protocol::cloud::MachineType;
+use crate::protocol::peers::Hello;
+use crate::transport::Network;
+use crate::types::{Term, Time};
+
+impl<N: Network> Node<N> {
+    /// Where the leader sits matters when zones are cut apart: workers that can't reach it lose
+    /// their work. So nodes of the zone with the most machines go first, and a leader elsewhere, or
+    /// one that most workers don't reach, makes room.
+    pub(super) fn consider_seat(&mut self, now: Time) {
+        self.workers.retain(|_, at| now.since(*at) < WORKERS_FOR);
+        if self.home.is_none() {
+            self.home = widest_zone(&self.types);
+        }
+        let several = self.settings.settings.zones.len() > 1;
+        let at_home = self.home.as_ref().is_none_or(|z| *z == self.settings.zone);
+        let unsure = several && self.types.is_empty() && self.leadership.term == Term(0);
+        self.leadership.handicap = if unsure {
+            HANDICAP * 2
+        } else if several && !at_home {
+            HANDICAP
+        } else {
+            Duration::ZERO
+        };
+        let unheard = self.unheard_zones(now);
+        let Some(office) = &mut self.office else {
+            return;
+        };
+        office.controller.unheard_zones = unheard;
+        let reach = office.controller.reach(now);
+        if reach.home.is_some() {
+            self.home.clone_from(&reach.home);
+        }
+        let fit = |h: &Hello, at: Time| h.state_ok && now.since(at) < HEARD_FOR;
+        let mut peers = self.settings.peers.iter().zip(&self.peers);
+        let at_better = peers.any(|(named, peer)| {
+            peer.heard.as_ref().is_some_and(|(at, h)| {
+                let hears_more = h.workers as usize > reach.heard && !h.made_room;
+                let hears_more = hears_more && reach.is_cut_off();
+                let at_home = several && !at_home && Some(&named.zone) == self.home.as_ref();
+                fit(h, *at) && (hears_more || at_home)
+            })
+        });
+        if at_better {
+            self.better_since.get_or_insert(now);
+        } else {
+            self.better_since = None;
+        }
+        let calm = self.better_since.is_some_and(|at| now.since(at) >= CALM);
+        // Cut off from the home zone, its nodes can't be heard either; they will find the key free.
+        // Unless one of our own zone has just tried that in vain.
+        let in_vain = self
+            .settings
+            .peers
+            .iter()
+            .zip(&self.peers)
+            .any(|(named, peer)| {
+                let made_room = peer.heard.as_ref().is_some_and(|(_, h)| h.made_room);
+                named.zone == self.settings.zone && made_room
+            });
+        let away = several && !at_home && !in_vain;
+        let cut_off = reach.is_cut_off() && (away || at_better);
+        if (calm || cut_off) && self.leadership.is_certain(now) {
+            self.better_since = None;
+            let wish = self.leadership.resign(now);
+            if wish.is_some() {
+                let Reach { heard, known, .. } = reach;
+                log::info!("{heard} of {known} machines are heard here: making room");
+            }
+            self.grant(wish);
+        }
+    }
+
+    /// Zones of which no node can be heard.
+    fn unheard_zones(&self, now: Time) -> Vec<String> {
+        let named = || self.settings.peers.iter().zip(&self.peers);
+        let heard = |zone: &str| {
+            *zone == self.settings.zone
+                || named().any(|(n, p)| n.zone == zone && self.hears(p, now))
+        };
+        let zones = named().map(|(n, _)| n.zone.clone());
+        zones.filter(|z| !heard(z)).collect()
+    }
+}
+
+/// The zone that offers the most machine types: a first guess at where the machines will be.
+fn widest_zone(types: &[MachineType]) -> Option<String> {
+    let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
+    for zone in types.iter().flat_map(|t| &t.zones) {
+        *zones.entry(zone).or_default() += 1;
+    }
+    let widest = zones.iter().max_by_key(|(_, count)| **count);
+    widest.map(|(zone, _)| (*zone).to_owned())
+}
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -41,6 +41,19 @@
     pub body: Vec<u8>,
 }
 
+/// Jobs that are cancelled in the records. The leader has to know before a user is told.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Cancelled {
+    pub jobs: Vec<u64>,
+}
+
+/// Those of them that the one who was asked has in hand, as the leader in office.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Secured {
+    pub jobs: Vec<u64>,
+}
+
+pub const CANCELLED: &str = "/peer/cancelled";
 pub const HELLO: &str = "/peer/hello";
 pub const RELAY: &str = "/peer/relay";
 
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{null_is_empty, Amount};
-use crate::types::{Attempt, HostName, Session, TaskId, Term, Tick};
+use crate::types::{Attempt, HostName, JobId, Session, TaskId, Term, Tick};
 
 #[derive(Clone, Debug, Deserialize)]
 pub struct Report {
@@ -124,3 +124,16 @@
     #[serde(rename = "foreman", skip_serializing_if = "Option::is_none")]
     pub leader: Option<&'a str>,
 }
+
+/// Stops for what a report shows of jobs that are `cancelled`.
+pub fn stops(report: &Report, cancelled: impl Fn(JobId) -> bool) -> Vec<Order> {
+    let there = report.tasks.iter().filter(|t| t.state != TaskState::Ended);
+    there
+        .filter(|t| cancelled(t.task.job))
+        .map(|t| Order::Stop {
+            task: t.task,
+            attempt: t.attempt,
+            grace_s: 0.0,
+        })
+        .collect()
+}
--- a/src/transport/event_loop.rs
+++ b/src/transport/event_loop.rs
@@ -5,12 +5,13 @@
 use slab::Slab;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use super::client::{self, CallError, CallId, ClientConn};
 use super::http::{self, Request, Response};
 use super::server::{self, ConnId, ServerConn};
 use super::timers::Timers;
+use super::Network;
 use crate::types::Time;
 
 /// What the outside did.
@@ -101,10 +102,6 @@
         })
     }
 
-    pub fn now(&self) -> Time {
-        Time(self.start.elapsed().as_millis() as u64)
-    }
-
     pub fn listen(&mut self, at: SocketAddr, door: Door) -> std::io::Result<()> {
         let mut listener = TcpListener::bind(at)?;
         let entry = self.sockets.vacant_entry();
@@ -151,11 +148,6 @@
         Ok(())
     }
 
-    /// How many sockets are open, and how many may be.
-    pub fn sockets(&self) -> (usize, usize) {
-        (self.sockets.len(), self.max_sockets)
-    }
-
     pub fn happened(&mut self) -> Option<Happening> {
         self.happened.pop_front()
     }
@@ -359,8 +351,30 @@
         }
     }
 
-    /// Answers a request. If its connection is gone, so is the answer.
-    pub fn respond(&mut self, conn: ConnId, response: &Response) {
+    fn not_sent(&mut self, call: CallId, why: CallError) {
+        self.happened.push_back(Happening::Reply {
+            call,
+            result: Err(why),
+        });
+    }
+}
+
+impl Network for Transport {
+    fn now(&self) -> Time {
+        Time(self.start.elapsed().as_millis() as u64)
+    }
+
+    fn time_of_day(&self) -> u64 {
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |d| d.as_millis() as u64)
+    }
+
+    fn sockets(&self) -> (usize, usize) {
+        (self.sockets.len(), self.max_sockets)
+    }
+
+    fn respond(&mut self, conn: ConnId, response: &Response) {
         let now = self.now();
         let Some(Socket::Server(c)) = self.sockets.get_mut(conn.slot) else {
             return;
@@ -371,8 +385,7 @@
         }
     }
 
-    /// Sends a request; its outcome comes as a [`Happening::Reply`], at the latest after `limit`.
-    pub fn call(
+    fn call(
         &mut self,
         to: SocketAddr,
         method: &str,
@@ -423,11 +436,4 @@
         }
         call
     }
-
-    fn not_sent(&mut self, call: CallId, why: CallError) {
-        self.happened.push_back(Happening::Reply {
-            call,
-            result: Err(why),
-        });
-    }
 }
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ciborium::Value;
-use lichencrank::bookkeeping::records::{FinalRecord, OverRecord};
+use lichencrank::bookkeeping::records::{BookedRecord, ChunkRecord, FinalRecord, OverRecord};
 use lichencrank::bookkeeping::store::{Ask, Outcome};
 use lichencrank::node::front::{Client, Front, FrontAct, FrontAsk, View};
 use lichencrank::protocol::cloud::MachineType;
@@ -13,7 +13,7 @@
 use lichencrank::protocol::{decode, encode, Amount};
 use lichencrank::settings::Team;
 use lichencrank::transport::ConnId;
-use lichencrank::types::{JobId, Stamp, Time};
+use lichencrank::types::{Attempt, HostName, JobId, Session, Stamp, Time};
 
 /// A node's front, and what it asked and answered so far.
 struct Desk {
@@ -22,6 +22,8 @@
     asked: Vec<(Ask, FrontAsk)>,
     answers: BTreeMap<u64, (u16, String)>,
     relays: usize,
+    /// Cancelled jobs that the leader is asked to take in hand.
+    secured: Vec<JobId>,
     now: Time,
     spare: bool,
     answering: bool,
@@ -84,6 +86,7 @@
             asked: Vec::new(),
             answers: BTreeMap::new(),
             relays: 0,
+            secured: Vec::new(),
             now: Time(10_000),
             spare: false,
             answering: true,
@@ -116,6 +119,7 @@
                     self.answers.insert(conn.serial, (response.status, told));
                 }
                 FrontAct::Relay(..) => self.relays += 1,
+                FrontAct::Secure(job) => self.secured.push(job),
             }
         }
     }
@@ -330,21 +334,96 @@
     assert_eq!(desk.answers[&user], (200, "queued".into()));
 }
 
-/// What a user was told is cancelled is passed on to the other nodes.
+impl Desk {
+    /// A withdrawal, up to the point where the records say that the job is cancelled.
+    fn withdraw(&mut self, job: u64) -> u64 {
+        let client = self.client();
+        self.front.withdraw(client, &name(job), self.now);
+        self.pump();
+        self.reply(Outcome::Item(Some(Item {
+            key: format!("live/{}", name(job)),
+            value: Value::Map(Vec::new()),
+            stamp: Stamp(7),
+        })));
+        self.reply(Outcome::Applied(Stamp(8)));
+        client.conn.serial
+    }
+
+    fn leader_says(&mut self, job: u64, secured: bool) {
+        self.front.on_secured(JobId(job), secured, self.now);
+        self.pump();
+    }
+}
+
+/// What a user was told is cancelled is passed on to the other nodes, and nobody is told before the
+/// leader has it in hand: the node that confirms may end at once, and the records may be out of reach
+/// for longer than a cancellation has.
 #[test]
-fn cancellations_are_passed_on() {
+fn cancellations_are_told_once_the_leader_knows() {
     let mut desk = Desk::new();
     desk.accept(1..2, 7);
-    let client = desk.client();
-    desk.front.withdraw(client, &name(1), desk.now);
-    desk.pump();
-    desk.reply(Outcome::Item(Some(Item {
-        key: "live/job-000001".into(),
-        value: Value::Map(Vec::new()),
-        stamp: Stamp(7),
-    })));
-    assert!(desk.front.take_cancelled().is_empty());
-    desk.reply(Outcome::Applied(Stamp(8)));
-    assert_eq!(desk.answers[&client.conn.serial].1, "cancelled");
+    let user = desk.withdraw(1);
     assert_eq!(desk.front.take_cancelled(), [JobId(1)]);
+    assert_eq!(desk.secured, [JobId(1)]);
+    assert!(!desk.answers.contains_key(&user));
+    desk.leader_says(1, true);
+    assert_eq!(desk.answers[&user], (200, "cancelled".into()));
+    // From now on that is known here.
+    let again = desk.poll(1);
+    assert_eq!(desk.answers[&again], (200, "cancelled".into()));
+}
+
+/// Without the leader's word the records decide: a job of which something is booked is not told as
+/// cancelled, at no door, and its user is told at once when to come back.
+#[test]
+fn without_the_leader_only_what_is_not_booked_is_told_as_cancelled() {
+    let mut desk = Desk::new();
+    desk.accept(1..2, 7);
+    let user = desk.withdraw(1);
+    desk.leader_says(1, false);
+    let bookings = |booked: Vec<BookedRecord>| {
+        let items = vec![Item {
+            key: "run/job-000001/00000".into(),
+            value: value(&ChunkRecord {
+                booked,
+                ..ChunkRecord::default()
+            }),
+            stamp: Stamp(9),
+        }];
+        Outcome::Page(Page {
+            items,
+            more: false,
+            revision: Stamp(9),
+        })
+    };
+    let one = vec![(0, Attempt(1), HostName::new("vm-1"), Session(1))];
+    assert!(matches!(&desk.asked[0].0, Ask::List { prefix, .. } if prefix == "run/job-000001/"));
+    desk.reply(bookings(one.clone()));
+    assert_eq!(desk.answers[&user].0, 503);
+    // Nor by a poll, nor by a repeated submission.
+    let polled = desk.poll(1);
+    desk.reply(Outcome::Conflict(vec!["live/job-000001".into()]));
+    let over = OverRecord {
+        state: JobState::Cancelled,
+        tasks: 0,
+    };
+    let cancelled = || {
+        Outcome::Item(Some(Item {
+            key: "over/job-000001".into(),
+            value: value(&over),
+            stamp: Stamp(8),
+        }))
+    };
+    desk.reply(Outcome::Item(None));
+    desk.reply(cancelled());
+    desk.leader_says(1, false);
+    desk.reply(bookings(one));
+    assert_eq!(desk.answers[&polled].0, 503);
+    // Once its bookings have ended it is told.
+    let polled = desk.poll(1);
+    desk.reply(Outcome::Item(None));
+    desk.reply(cancelled());
+    desk.leader_says(1, false);
+    desk.reply(bookings(Vec::new()));
+    assert_eq!(desk.answers[&polled], (200, "cancelled".into()));
 }
--- /dev/null
+++ b/tests/simulated/mod.rs
@@ -0,0 +1,954 @@
+//! Several real nodes in one thread and in simulated time, against stand-ins for the state service,
+//! the cloud, machines and users, with seeded delays and every trouble of the operators' lists. The
+//! nodes are the service's own; nothing that it does is done here a second time.
+
+pub mod checker;
+mod cloud;
+mod network;
+pub mod script;
+#[path = "../standin/state.rs"]
+mod state;
+mod users;
+#[path = "../standin/values.rs"]
+mod values;
+pub mod worker;
+
+use ciborium::Value;
+use lichencrank::node::Node;
+use lichencrank::protocol::{decode, encode};
+use lichencrank::settings::{Settings, Tuning};
+use lichencrank::transport::{CallError, CallId, ConnId, Door, Happening, Request, Response};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
+
+use checker::{Checker, Fact, Rules};
+use cloud::Cloud;
+use network::{Call, Out, SimNet};
+use script::{Script, Site};
+use state::{hold_ms, Limits, State};
+use users::Users;
+use values::{get, number, text};
+use worker::{Deed, Worker};
+
+/// A call of a node: which node, which of its processes, which call.
+type CallRef = (usize, u64, CallId);
+
+/// Who waits for a node's answer.
+#[derive(Clone, Debug)]
+enum Origin {
+    Peer(CallRef),
+    Worker {
+        host: String,
+        tick: u64,
+        sent: u64,
+    },
+    User(u64),
+    /// A late copy: nobody waits.
+    Nobody,
+}
+
+enum Event {
+    Wake(usize, u64),
+    AtNode(usize, Door, Origin, Request),
+    AtState(CallRef, Call, Carried),
+    AtCloud(CallRef, Call),
+    AtWorker(String, CallRef, Value),
+    Reply(CallRef, Result<Response, CallError>),
+    WorkerAnswer {
+        host: String,
+        tick: u64,
+        sent: u64,
+        response: Response,
+    },
+    Workers,
+    State,
+    Look,
+    Line(usize),
+    Start(usize),
+    User(users::Step),
+}
+
+/// What becomes of a transaction and its answer.
+#[derive(Clone, Copy, PartialEq)]
+enum Carried {
+    Soundly,
+    /// Its answer is lost.
+    Silently,
+}
+
+struct Slot {
+    settings: Settings,
+    node: Option<Node<SimNet>>,
+    out: Rc<RefCell<Vec<Out>>>,
+    /// Counts its processes.
+    life: u64,
+    halted: u64,
+    /// What arrived while it stood still.
+    backlog: Vec<Happening>,
+    wake: u64,
+    /// When its clock began.
+    started: u64,
+}
+
+struct Watch {
+    from: CallRef,
+    target: String,
+    until: u64,
+}
+
+/// Whom a node can be cut off from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    State,
+    Peers,
+    Workers,
+    Users,
+}
+
+struct Cut {
+    node: usize,
+    sides: Vec<Side>,
+    until: u64,
+    /// What is sent meanwhile arrives when it ends.
+    holds: bool,
+}
+
+/// Until when each trouble lasts, and how heavy it is.
+#[derive(Default)]
+struct Troubles {
+    outage: u64,
+    refused: Vec<(usize, u64)>,
+    slow: (u64, u64),
+    lost_answers: (f64, u64),
+    late_writes: (f64, u64),
+    cloud_away: u64,
+    late_reports: (f64, u64),
+    reports_for_next: u64,
+    cuts: Vec<Cut>,
+    /// Zones that can't reach each other.
+    zones_apart: u64,
+}
+
+/// The requests and changes that the state service still takes this second.
+struct Bucket {
+    rate: f64,
+    level: f64,
+    at: u64,
+}
+
+impl Bucket {
+    fn new(rate: f64) -> Bucket {
+        Bucket {
+            rate,
+            level: rate,
+            at: 0,
+        }
+    }
+
+    fn takes(&mut self, now: u64, amount: f64) -> bool {
+        let passed = now.saturating_sub(self.at) as f64 / 1000.0;
+        self.level = (self.level + passed * self.rate).min(self.rate);
+        self.at = now;
+        let takes = self.level >= amount;
+        if takes {
+            self.level -= amount;
+        }
+        takes
+    }
+}
+
+pub struct World {
+    clock: Rc<Cell<u64>>,
+    random: fastrand::Rng,
+    events: BTreeMap<(u64, u64), Event>,
+    serial: u64,
+    site: Site,
+    slots: Vec<Slot>,
+    state: State,
+    requests: Bucket,
+    writes: Bucket,
+    watches: Vec<Watch>,
+    cloud: Cloud,
+    workers: BTreeMap<String, Worker>,
+    users: Users,
+    /// Calls whose callers still wait.
+    open: BTreeSet<CallRef>,
+    conns: HashMap<(usize, u64, u64), Origin>,
+    troubles: Troubles,
+    /// Reports kept for the next leader.
+    kept_reports: Vec<Request>,
+    pub checker: Checker,
+    /// When what took place, for a case to assert that its meeting did.
+    marks: BTreeMap<&'static str, Vec<u64>>,
+    term: u64,
+    leader: Option<usize>,
+    /// The node that confirmed a cancellation last.
+    confirmer: Option<usize>,
+    history: Vec<String>,
+    said: (usize, u64),
+}
+
+const EPOCH_MS: u64 = 1_700_000_000_000;
+const WORKERS_EVERY: u64 = 50;
+const STATE_EVERY: u64 = 10;
+const LOOK_EVERY: u64 = 250;
+
+impl World {
+    pub fn new(site: Site, seed: u64) -> World {
+        let clock = Rc::new(Cell::new(0));
+        let rules = Rules {
+            cancel_ms: (site.cancel_s * 1000.0) as u64,
+            limits: site.limits(),
+        };
+        let mut world = World {
+            random: fastrand::Rng::with_seed(seed),
+            events: BTreeMap::new(),
+            serial: 0,
+            slots: Vec::new(),
+            state: State::new(Limits {
+                value_bytes: (site.value_kb * 1024.0) as usize,
+                txn_ops: site.txn_ops,
+            }),
+            requests: Bucket::new(site.rps),
+            writes: Bucket::new(site.write_rps),
+            watches: Vec::new(),
+            cloud: Cloud::new(&site),
+            workers: BTreeMap::new(),
+            users: Users::default(),
+            open: BTreeSet::new(),
+            conns: HashMap::new(),
+            troubles: Troubles::default(),
+            kept_reports: Vec::new(),
+            checker: Checker::new(rules),
+            marks: BTreeMap::new(),
+            term: 0,
+            leader: None,
+            confirmer: None,
+            history: Vec::new(),
+            said: (0, 0),
+            clock,
+            site,
+        };
+        for at in 0..world.site.nodes {
+            let settings = world.site.settings(at);
+            world.slots.push(Slot {
+                settings,
+                node: None,
+                out: Rc::default(),
+                life: 0,
+                halted: 0,
+                backlog: Vec::new(),
+                wake: 0,
+                started: 0,
+            });
+            world.start(at);
+        }
+        let up = world.site.up.clone();
+        for (kind, zone, count) in up {
+            for _ in 0..count {
+                world.rent(&kind, &zone, false, Some(0));
+            }
+        }
+        world.at(0, Event::Workers);
+        world.at(0, Event::State);
+        world.at(0, Event::Look);
+        world
+    }
+
+    fn now(&self) -> u64 {
+        self.clock.get()
+    }
+
+    fn at(&mut self, time: u64, event: Event) {
+        self.serial += 1;
+        self.events
+            .insert((time.max(self.now()), self.serial), event);
+    }
+
+    fn mark(&mut self, what: &'static str) {
+        let now = self.now();
+        self.marks.entry(what).or_default().push(now);
+    }
+
+    fn note(&mut self, what: String) {
+        let now = self.now() as f64 / 1000.0;
+        self.history.push(format!("{now:9.3} {what}"));
+    }
+
+    fn chance(&mut self, (share, until): (f64, u64)) -> bool {
+        self.now() < until && self.random.f64() < share
+    }
+
+    fn latency(&mut self) -> u64 {
+        1 + self.random.u64(0..3)
+    }
+
+    /// Plays the script to its end and says what broke, with the history.
+    pub fn play(&mut self, script: &Script) -> Result<(), String> {
+        for (number, (at, _)) in script.lines.iter().enumerate() {
+            self.at(*at, Event::Line(number));
+        }
+        self.checker.calm_at = script.calm_at;
+        while let Some(((time, _), event)) = self.events.pop_first() {
+            if time > script.until {
+                break;
+            }
+            self.clock.set(time);
+            self.happen(event, script);
+            if !self.checker.broken.is_empty() {
+                break;
+            }
+        }
+        if self.checker.broken.is_empty() {
+            self.checker.close(script.until);
+        }
+        for (mark, least, from, to) in &script.expected {
+            let seen = self.marks.get(mark.as_str());
+            let seen = seen.map_or(0, |times| {
+                times.iter().filter(|t| (*from..=*to).contains(t)).count()
+            });
+            if seen < *least {
+                self.checker
+                    .broken
+                    .push(format!("the meeting was missed: {mark} {seen} of {least}"));
+            }
+        }
+        if self.checker.broken.is_empty() {
+            return Ok(());
+        }
+        let from = self.history.len().saturating_sub(150);
+        Err(format!(
+            "{}\n{}",
+            self.history[from..].join("\n"),
+            self.checker.broken.join("\n")
+        ))
+    }
+
+    fn happen(&mut self, event: Event, script: &Script) {
+        match event {
+            Event::Wake(node, life) => {
+                let slot = &self.slots[node];
+                if slot.life == life && slot.wake <= self.now() {
+                    self.run(node, None);
+                }
+            }
+            Event::AtNode(node, door, origin, request) => self.at_node(node, door, origin, request),
+            Event::AtState(from, call, carried) => self.at_state(from, call, carried),
+            Event::AtCloud(from, call) => self.at_cloud(from, &call),
+            Event::AtWorker(host, from, body) => self.at_worker(host, from, body),
+            Event::Reply(from, result) => self.reply(from, result),
+            Event::WorkerAnswer {
+                host,
+                tick,
+                sent,
+                response,
+            } => self.answer_worker(&host, tick, sent, &response),
+            Event::Workers => self.pass_workers(),
+            Event::State => {
+                self.pass_state();
+                let next = self.now() + STATE_EVERY;
+                self.at(next, Event::State);
+            }
+            Event::Look => {
+                let now = self.now();
+                self.checker.pass(now);
+                self.at(now + LOOK_EVERY, Event::Look);
+            }
+            Event::Line(number) => {
+                let (_, deed) = script.lines[number].clone();
+                self.note(format!("{deed:?}"));
+                self.carry_out(deed);
+            }
+            Event::Start(node) => self.start(node),
+            Event::User(step) => self.user(step),
+        }
+    }
+
+    // ---- nodes
+
+    fn start(&mut self, at: usize) {
+        let now = self.now();
+        let incarnation = self.random.u64(..);
+        let slot = &mut self.slots[at];
+        if slot.node.is_some() {
+            return;
+        }
+        slot.life += 1;
+        slot.halted = 0;
+        slot.started = now;
+        slot.backlog.clear();
+        slot.out = Rc::default();
+        let net = SimNet::new(self.clock.clone(), now, slot.out.clone());
+        let settings = slot.settings.clone();
+        slot.node = Some(Node::new(settings, Tuning::default(), net, incarnation));
+        self.note(format!("node {at} starts"));
+        self.run(at, None);
+    }
+
+    fn kill(&mut self, at: usize, back: Option<u64>) {
+        self.note(format!("node {at} is killed"));
+        self.mark("killed");
+        let slot = &mut self.slots[at];
+        slot.node = None;
+        let life = slot.life;
+        self.open.retain(|(node, l, _)| (*node, *l) != (at, life));
+        if let Some(after) = back {
+            let at_time = self.now() + after;
+            self.at(at_time, Event::Start(at));
+        }
+    }
+
+    /// Gives the node something to take in, lets it do what is due, and sends what it sends.
+    fn run(&mut self, at: usize, happening: Option<Happening>) {
+        let now = self.now();
+        let trace = self.said != (at, now) && std::env::var_os("LOG_LEVEL").is_some();
+        let slot = &mut self.slots[at];
+        let Some(node) = &mut slot.node else { return };
+        if now < slot.halted {
+            slot.backlog.extend(happening);
+            let wake = (slot.halted, slot.life);
+            slot.wake = wake.0;
+            self.at(wake.0, Event::Wake(at, wake.1));
+            return;
+        }
+        if trace {
+            eprintln!("---- {:.3} node {at}", now as f64 / 1000.0);
+            self.said = (at, now);
+        }
+        for held in std::mem::take(&mut slot.backlog) {
+            node.on(held);
+        }
+        if let Some(happening) = happening {
+            node.on(happening);
+        }
+        node.attend();
+        let life = slot.life;
+        slot.wake = (slot.started + node.next_wake().0).max(now + 1);
+        let (wake, out) = (slot.wake, slot.out.take());
+        self.at(wake, Event::Wake(at, life));
+        for sent in out {
+            match sent {
+                Out::Respond(conn, response) => self.respond(at, life, conn, response),
+                Out::Call(call) => self.call((at, life, call.id), call),
+            }
+        }
+    }
+
+    fn at_node(&mut self, node: usize, door: Door, origin: Origin, request: Request) {
+        let slot = &self.slots[node];
+        if slot.node.is_none() {
+            if let Origin::Peer(from) = origin {
+                self.reply(from, Err(CallError::NotSent));
+            }
+            return;
+        }
+        self.serial += 1;
+        let serial = self.serial;
+        self.conns.insert((node, slot.life, serial), origin);
+        let conn = ConnId { slot: 0, serial };
+        let happening = Happening::Request {
+            conn,
+            door,
+            request,
+        };
+        self.run(node, Some(happening));
+    }
+
+    fn respond(&mut self, node: usize, life: u64, conn: ConnId, response: Response) {
+        let Some(origin) = self.conns.remove(&(node, life, conn.serial)) else {
+            return;
+        };
+        let when = self.now() + self.latency();
+        match origin {
+            Origin::Nobody => {}
+            Origin::Peer(from) => {
+                if let Some(arrives) = self.passes(node, Side::Peers, Some(from.0), when) {
+                    self.at(arrives, Event::Reply(from, Ok(response)));
+                }
+            }
+            Origin::Worker { host, tick, sent } => {
+                let at_worker = Event::WorkerAnswer {
+                    host,
+                    tick,
+                    sent,
+                    response,
+                };
+                if let Some(arrives) = self.passes(node, Side::Workers, None, when) {
+                    self.at(arrives, at_worker);
+                }
+            }
+            Origin::User(ask) => {
+                if let Some(arrives) = self.passes(node, Side::Users, None, when) {
+                    self.at(arrives, Event::User(users::Step::Told(ask, response)));
+                }
+            }
+        }
+    }
+
+    /// When a message between a node and that side arrives; `None` if it is lost.
+    fn passes(&self, node: usize, side: Side, peer: Option<usize>, when: u64) -> Option<u64> {
+        let now = self.now();
+        let cut = |c: &&Cut| {
+            let hit = c.node == node || peer == Some(c.node);
+            now < c.until && hit && c.sides.contains(&side)
+        };
+        let zone = |n: usize| self.slots[n].settings.zone.clone();
+        let apart = peer.is_some_and(|p| now < self.troubles.zones_apart && zone(p) != zone(node));
+        match self.troubles.cuts.iter().find(cut) {
+            Some(cut) if cut.holds => Some(cut.until + (when - now)),
+            Some(_) => None,
+            None if apart => None,
+            None => Some(when),
+        }
+    }
+
+    /// A node calls somebody.
+    fn call(&mut self, from: CallRef, call: Call) {
+        let now = self.now();
+        self.open.insert(from);
+        self.at(now + call.limit, Event::Reply(from, Err(CallError::Lost)));
+        let when = now + self.latency();
+        let to = call.to.to_string();
+        let node = from.0;
+        if to == script::STATE {
+            let Some(arrives) = self.passes(node, Side::State, None, when) else {
+                return;
+            };
+            let mut carried = Carried::Soundly;
+            let mut arrives = arrives + self.slowness();
+            if call.target == "/txn" {
+                if self.chance(self.troubles.lost_answers) {
+                    carried = Carried::Silently;
+                    self.mark("lost-answer");
+                } else if self.chance(self.troubles.late_writes) {
+                    carried = Carried::Silently;
+                    arrives += self.random.u64(2000..12_000);
+                    self.mark("late-write");
+                }
+            }
+            self.at(arrives, Event::AtState(from, call, carried));
+        } else if to == script::CLOUD {
+            let when = when + 50 + self.random.u64(0..100);
+            self.at(when, Event::AtCloud(from, call));
+        } else if let Some(peer) = self
+            .slots
+            .iter()
+            .position(|s| s.settings.internal == call.to)
+        {
+            if let Some(arrives) = self.passes(node, Side::Peers, Some(peer), when) {
+                let request = call.request();
+                let origin = Origin::Peer(from);
+                self.at(
+                    arrives,
+                    Event::AtNode(peer, Door::Internal, origin, request),
+                );
+            }
+        } else if let Some(host) = self.host_at(&to) {
+            let body = decode(&call.body).unwrap_or(Value::Null);
+            if let Some(arrives) = self.passes(node, Side::Workers, None, when) {
+                self.at(arrives, Event::AtWorker(host, from, body));
+            }
+        }
+    }
+
+    fn slowness(&mut self) -> u64 {
+        let (most, until) = self.troubles.slow;
+        if self.now() < until {
+            self.random.u64(most / 2..=most)
+        } else {
+            0
+        }
+    }
+
+    fn reply(&mut self, from: CallRef, result: Result<Response, CallError>) {
+        if !self.open.remove(&from) {
+            return;
+        }
+        let (node, life, call) = from;
+        if self.slots[node].life == life {
+            self.run(node, Some(Happening::Reply { call, result }));
+        }
+    }
+
+    // ---- the state service
+
+    fn at_state(&mut self, from: CallRef, call: Call, carried: Carried) {
+        let now = self.now();
+        let node = from.0;
+        let refused = self.troubles.refused.iter();
+        let refused = refused.clone().any(|(n, until)| *n == node && now < *until);
+        let answer = if now < self.troubles.outage || refused {
+            if call.target.starts_with("/changes") {
+                // Watches stay open.
+                return;
+            }
+            (503, Value::Null)
+        } else if !self.requests.takes(now, 1.0) {
+            self.mark("over-budget");
+            (429, Value::Null)
+        } else if call.target.starts_with("/changes") {
+            let until = now + hold_ms(&call.target);
+            let target = call.target;
+            self.watches.push(Watch {
+                from,
+                target,
+                until,
+            });
+            return;
+        } else {
+            let body = decode(&call.body).unwrap_or(Value::Null);
+            let writes = values::list(&body, "apply").len() as f64;
+            if writes > 0.0 && !self.writes.takes(now, writes) {
+                self.mark("over-budget");
+                (429, Value::Null)
+            } else {
+                let answer = self.state.handle(now, &call.method, &call.target, &body);
+                if answer.0 == 400 {
+                    self.mark("refused-by-state");
+                    self.note(format!(
+                        "state service: 400 to node {node}: {}",
+                        call.target
+                    ));
+                }
+                self.see_leader();
+                answer
+            }
+        };
+        if carried == Carried::Silently {
+            return;
+        }
+        let when = now + self.latency();
+        let response = Response::new(answer.0, encode(&answer.1));
+        if let Some(arrives) = self.passes(node, Side::State, None, when) {
+            self.at(arrives, Event::Reply(from, Ok(response)));
+        }
+    }
+
+    fn pass_state(&mut self) {
+        let now = self.now();
+        if now < self.troubles.outage {
+            self.state.refill_leases(now);
+            return;
+        }
+        self.state.expire(now);
+        self.see_leader();
+        for watch in std::mem::take(&mut self.watches) {
+            let node = watch.from.0;
+            let mut refused = self.troubles.refused.iter();
+            let refused = refused.any(|(n, until)| *n == node && now < *until);
+            let answer = if refused {
+                None
+            } else {
+                self.state.changes(&watch.target, now >= watch.until)
+            };
+            match answer {
+                None => self.watches.push(watch),
+                Some((status, body)) => {
+                    let when = now + self.latency();
+                    let response = Response::new(status, encode(&body));
+                    if let Some(arrives) = self.passes(node, Side::State, None, when) {
+                        self.at(arrives, Event::Reply(watch.from, Ok(response)));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Who leads, by the state service's word.
+    fn see_leader(&mut self) {
+        let term = self
+            .state
+            .peek("lead/term")
+            .map_or(0, |t| number(t, "term"));
+        let holder = self.state.peek("lead/holder").map(|h| text(h, "node"));
+        let named = |h: String| self.slots.iter().position(|s| s.settings.name == h);
+        if let Some(leader) = holder.and_then(named) {
+            self.leader = Some(leader);
+        }
+        if term == self.term {
+            return;
+        }
+        self.term = term;
+        self.mark("takeover");
+        self.note(format!("term {term}: node {:?} leads", self.leader));
+        for request in std::mem::take(&mut self.kept_reports) {
+            self.mark("old-report-at-new-leader");
+            for node in 0..self.slots.len() {
+                let when = self.now() + 5 + self.random.u64(0..600);
+                let event = Event::AtNode(node, Door::Front, Origin::Nobody, request.clone());
+                self.at(when, event);
+            }
+        }
+    }
+
+    // ---- machines
+
+    fn host_at(&self, address: &str) -> Option<String> {
+        let mut workers = self.workers.values();
+        workers
+            .find(|w| w.address == address)
+            .map(|w| w.name.clone())
+    }
+
+    fn rent(&mut self, kind: &str, zone: &str, spot: bool, boot_ms: Option<u64>) -> String {
+        let now = self.now();
+        let boot = boot_ms.unwrap_or_else(|| {
+            let usual = self.site.boot_ms(kind) as f64;
+            let boot = usual * (0.6 + 0.9 * self.random.f64());
+            self.cloud.boot_ms.unwrap_or(boot as u64)
+        });
+        let number = self.cloud.machines.len();
+        let name = format!("vm-{number:06}");
+        let address = format!("10.1.{}.{}:9000", number / 250, 1 + number % 250);
+        let mut worker = Worker::new(name.clone(), address.clone(), kind, zone, spot);
+        worker.cpus = self.site.cpus(kind);
+        worker.fetch_ms = 300 + self.random.u64(0..900);
+        worker.at = self.random.usize(0..self.slots.len());
+        self.cloud.add(&worker, now, now + boot);
+        self.workers.insert(name.clone(), worker);
+        name
+    }
+
+    fn at_cloud(&mut self, from: CallRef, call: &Call) {
+        let now = self.now();
+        let body = decode(&call.body).unwrap_or(Value::Null);
+        let path = call.target.split('?').next().unwrap_or("");
+        let away = map_error("trouble");
+        let answer = match (call.method.as_str(), path) {
+            _ if now < self.troubles.cloud_away => (503, away),
+            ("GET", "/machine_types") => (200, self.site.types()),
+            ("POST", "/hosts") => self.rented(&body),
+            ("POST", "/hosts/release") => {
+                for name in values::list(&body, "hosts") {
+                    self.gone(name.as_text().unwrap_or(""));
+                }
+                (200, values::map(vec![]))
+            }
+            _ => (200, self.cloud.list(now, &call.target)),
+        };
+        let when = now + 20 + self.latency();
+        let response = Response::new(answer.0, encode(&answer.1));
+        self.at(when, Event::Reply(from, Ok(response)));
+    }
+
+    fn rented(&mut self, body: &Value) -> (u16, Value) {
+        let request = text(body, "ask");
+        if let Some(answer) = self.cloud.asked.get(&request) {
+            return (200, answer.clone());
+        }
+        let spot = get(body, "loaners").and_then(Value::as_bool) == Some(true);
+        let (kind, zone) = (text(body, "hosttype"), text(body, "hall"));
+        let room = self.site.market.saturating_sub(self.cloud.there());
+        let count = number(body, "howMany").min(room as u64);
+        if count == 0 {
+            return (503, map_error("no capacity"));
+        }
+        let names = (0..count).map(|_| self.rent(&kind, &zone, spot, None));
+        let names = Value::Array(names.map(Value::from).collect());
+        let answer = values::map(vec![("hosts", names)]);
+        self.cloud.asked.insert(request, answer.clone());
+        (200, answer)
+    }
+
+    /// The machine and all on it are no more.
+    fn gone(&mut self, name: &str) {
+        let now = self.now();
+        if let Some(mut worker) = self.workers.remove(name) {
+            worker.end();
+            self.deeds(&mut worker);
+            self.checker.see(now, Fact::MachineGone(name.to_owned()));
+        }
+        self.cloud.remove(name, now);
+    }
+
+    /// Tells the checker what happened on the machine.
+    fn deeds(&mut self, worker: &mut Worker) {
+        let now = self.now();
+        for deed in std::mem::take(&mut worker.deeds) {
+            let host = worker.name.clone();
+            let (Deed::Taken(task) | Deed::Begun(task) | Deed::Over(task, _)) = &deed;
+            let Some((job, task)) = users::task_of(task) else {
+                continue;
+            };
+            self.note(format!("{host}: {deed:?}"));
+            let fact = match deed {
+                Deed::Taken(_) => Fact::Taken(host, job, task),
+                Deed::Begun(_) => Fact::Begun(host, job, task),
+                Deed::Over(_, done) => Fact::Over {
+                    host,
+                    job,
+                    task,
+                    done,
+                },
+            };
+            let ends = matches!(fact, Fact::Over { done: true, .. });
+            self.checker.see(now, fact);
+            if now < worker.quick_until {
+                self.mark("work-on-a-new-machine");
+            }
+            if ends {
+                self.task_done(job);
+            }
+        }
+    }
+
+    fn pass_workers(&mut self) {
+        let now = self.now();
+        for name in self.workers.keys().cloned().collect::<Vec<_>>() {
+            let Some(mut worker) = self.workers.remove(&name) else {
+                continue;
+            };
+            self.pass_worker(&mut worker, now);
+            self.workers.insert(name, worker);
+        }
+        self.at(now + WORKERS_EVERY, Event::Workers);
+    }
+
+    fn pass_worker(&mut self, worker: &mut Worker, now: u64) {
+        let up_at = self.cloud.machines[&worker.name].up_at;
+        if now < up_at {
+            return;
+        }
+        if !self.cloud.machines[&worker.name].begun {
+            self.cloud.begin(&worker.name);
+            worker.begin(now, (self.site.lease_s * 1000.0) as u64);
+            worker.quick_until = now + 3000;
+            let fact = Fact::MachineUp {
+                host: worker.name.clone(),
+                zone: worker.zone.clone(),
+                spot: worker.spot,
+                cpus: worker.cpus,
+            };
+            self.checker.see(now, fact);
+        }
+        if now < worker.hangs {
+            worker.hung = true;
+            return;
+        }
+        if std::mem::take(&mut worker.hung) {
+            worker.resumed(now - worker.moved);
+        }
+        worker.moved = now;
+        worker.pass(now);
+        for (from, body) in worker.take_held() {
+            self.command(worker, from, &body);
+        }
+        let spread = 0.75 + 0.5 * self.random.f64();
+        let every = (self.site.report_s * 1000.0 * spread) as u64;
+        if worker.reports(now, every) {
+            self.send_report(worker);
+        }
+        self.deeds(worker);
+    }
+
+    fn send_report(&mut self, worker: &mut Worker) {
+        let now = self.now();
+        let node = worker.at % self.slots.len();
+        let report = worker.report();
+        let tick = worker.tick;
+        worker.in_flight = Some((tick, now));
+        let request = Request {
+            method: "POST".into(),
+            target: "/agent/beat".into(),
+            body: encode(&report),
+            close: false,
+        };
+        if now < worker.mute || now < worker.cut {
+            return;
+        }
+        if now < self.troubles.reports_for_next && self.random.f64() < 0.3 {
+            self.kept_reports.push(request.clone());
+        }
+        if self.chance(self.troubles.late_reports) {
+            self.mark("late-report");
+            let lease = (self.site.lease_s * 1000.0) as u64;
+            let when = now + 2000 + self.random.u64(0..lease * 2);
+            let event = Event::AtNode(node, Door::Front, Origin::Nobody, request.clone());
+            self.at(when, event);
+        }
+        let slot = &self.slots[node];
+        if slot.node.is_none() {
+            worker.elsewhere(now);
+            return;
+        }
+        let when = now + self.latency();
+        let apart = now < self.troubles.zones_apart;
+        if apart && self.slots[node].settings.zone != worker.zone {
+            return;
+        }
+        if let Some(arrives) = self.passes(node, Side::Workers, None, when) {
+            let (host, sent) = (worker.name.clone(), now);
+            let origin = Origin::Worker { host, tick, sent };
+            self.at(arrives, Event::AtNode(node, Door::Front, origin, request));
+        }
+    }
+
+    fn answer_worker(&mut self, host: &str, tick: u64, sent: u64, response: &Response) {
+        let now = self.now();
+        let Some(mut worker) = self.workers.remove(host) else {
+            return;
+        };
+        let lost = now < worker.deaf || now < worker.cut || now < worker.hangs;
+        let late = worker.in_flight.is_none_or(|(t, _)| t != tick);
+        if !lost && !late {
+            worker.pass(now);
+            let body: Value = decode(&response.body).unwrap_or(Value::Null);
+            match response.status {
+                200 => {
+                    let users = &self.users;
+                    worker.answered(tick, sent, &body, now, &|task| users.lookup(task));
+                }
+                421 => {
+                    let foreman = text(&body, "foreman");
+                    let named = self.slots.iter().position(|s| s.settings.name == foreman);
+                    match named.filter(|n| *n != worker.at % self.slots.len()) {
+                        Some(node) => {
+                            worker.in_flight = None;
+                            worker.at = node;
+                            worker.next_report = now + self.random.u64(0..500);
+                        }
+                        None => worker.elsewhere(now),
+                    }
+                }
+                _ => worker.elsewhere(now),
+            }
+            self.deeds(&mut worker);
+        }
+        self.workers.insert(host.to_owned(), worker);
+    }
+
+    fn at_worker(&mut self, host: String, from: CallRef, body: Value) {
+        let now = self.now();
+        let Some(mut worker) = self.workers.remove(&host) else {
+            return;
+        };
+        let up = self.cloud.machines[&host].begun;
+        if up && now >= worker.deaf && now >= worker.cut {
+            if now < worker.hangs {
+                worker.hold(from, body);
+            } else {
+                worker.pass(now);
+                self.command(&mut worker, from, &body);
+            }
+        }
+        self.workers.insert(host, worker);
+    }
+
+    fn command(&mut self, worker: &mut Worker, from: CallRef, body: &Value) {
+        let now = self.now();
+        let users = &self.users;
+        let heeded = worker.commanded(body, now, &|task| users.lookup(task));
+        let status = if heeded { 200 } else { 409 };
+        let response = Response::new(status, encode(&worker.report()));
+        self.deeds(worker);
+        let when = now + self.latency();
+        if let Some(arrives) = self.passes(from.0, Side::Workers, None, when) {
+            self.at(arrives, Event::Reply(from, Ok(response)));
+        }
+    }
+}
+
+fn map_error(what: &str) -> Value {
+    values::map(vec![("error", what.into())])
+}
--- /dev/null
+++ b/tests/simulated/script.rs
@@ -0,0 +1,408 @@
+//! Cases as people read them; `tests/meetings/README.md` lists the words.
+
+use ciborium::Value;
+use lichencrank::settings::Settings;
+use std::collections::BTreeMap;
+
+use super::values::map;
+use super::Side;
+
+pub const STATE: &str = "10.2.0.1:2379";
+pub const CLOUD: &str = "10.2.0.2:8443";
+
+/// Which nodes a trouble meets; who leads is known only when it does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Who {
+    Leader,
+    /// One that does not lead.
+    Other,
+    Others,
+    /// The one that confirmed a cancellation last.
+    Confirmer,
+    All,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ill {
+    Hang,
+    Deaf,
+    Mute,
+    Cut,
+    Die,
+}
+
+#[derive(Clone, Debug)]
+pub struct Shape {
+    pub tasks: u32,
+    pub cpus: f64,
+    pub run_ms: u64,
+    pub team: String,
+    pub urgency: String,
+    pub zone: Option<String>,
+    pub one_zone: bool,
+    pub spread: bool,
+}
+
+#[derive(Clone, Debug)]
+pub enum Deed {
+    Submit {
+        count: u64,
+        every_ms: u64,
+        shape: Shape,
+        /// The share that is cancelled, a while after it was accepted.
+        cancelled: f64,
+    },
+    Cancel {
+        count: usize,
+        through: Who,
+        /// For so long the machines of the cancelled jobs hang.
+        hang_ms: u64,
+    },
+    Refuse(Who, u64),
+    Outage(u64),
+    Slow(u64, u64),
+    LostAnswers(f64, u64),
+    LateWrites(f64, u64),
+    Cut {
+        who: Who,
+        sides: Vec<Side>,
+        for_ms: u64,
+        holds: bool,
+    },
+    Kill(Who, u64),
+    Halt(Who, u64),
+    CloudAway(u64),
+    Machines {
+        ill: Ill,
+        share: f64,
+        zone: Option<String>,
+        for_ms: u64,
+    },
+    LateReports(f64, u64),
+    /// Reports are kept for the next leader.
+    KeepReports(u64),
+    Looks(u64),
+    CancelAtEnd(f64, u64),
+    Boot(u64),
+    ZonesApart(u64),
+    Odd(u64),
+}
+
+#[derive(Clone, Debug)]
+pub struct Site {
+    pub nodes: usize,
+    pub zones: Vec<String>,
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+    pub list_lag_s: f64,
+    pub market: usize,
+    pub boot_s: f64,
+    teams: Vec<(String, f64)>,
+    kinds: Vec<(String, f64, Vec<String>)>,
+    /// Machines that are up when the case begins.
+    pub up: Vec<(String, String, usize)>,
+}
+
+pub struct Script {
+    pub site: Site,
+    pub lines: Vec<(u64, Deed)>,
+    pub calm_at: u64,
+    pub until: u64,
+    /// What has to take place, how often at the least, between when and when.
+    pub expected: Vec<(String, usize, u64, u64)>,
+}
+
+struct Words<'a>(Vec<&'a str>);
+
+impl<'a> Words<'a> {
+    fn after(&self, word: &str) -> Option<&'a str> {
+        let at = self.0.iter().position(|w| *w == word)?;
+        self.0.get(at + 1).copied()
+    }
+
+    fn has(&self, word: &str) -> bool {
+        self.0.contains(&word)
+    }
+
+    fn number(&self, word: &str) -> Option<f64> {
+        let text = self.after(word)?;
+        Some(
+            text.parse()
+                .unwrap_or_else(|_| panic!("{word} {text}: no number")),
+        )
+    }
+
+    fn ms(&self, word: &str) -> Option<u64> {
+        self.number(word).map(|s| (s * 1000.0) as u64)
+    }
+
+    fn at(&self, index: usize) -> &'a str {
+        self.0.get(index).copied().unwrap_or("")
+    }
+
+    fn figure(&self, index: usize) -> f64 {
+        let text = self.at(index);
+        text.parse()
+            .unwrap_or_else(|_| panic!("{:?}: {text} is no number", self.0))
+    }
+
+    /// Everything from the word on.
+    fn all_after(&self, word: &str) -> Vec<String> {
+        let found = self.0.iter().skip_while(|w| **w != word).skip(1);
+        found.map(|w| (*w).to_owned()).collect()
+    }
+}
+
+fn who(word: &str) -> Who {
+    match word {
+        "leader" => Who::Leader,
+        "other" => Who::Other,
+        "others" => Who::Others,
+        "confirmer" => Who::Confirmer,
+        "all" => Who::All,
+        other => panic!("{other}: which nodes?"),
+    }
+}
+
+fn ms(s: f64) -> u64 {
+    (s * 1000.0) as u64
+}
+
+impl Site {
+    fn empty() -> Site {
+        Site {
+            nodes: 3,
+            zones: vec!["a".into()],
+            report_s: 3.0,
+            lease_s: 16.0,
+            cancel_s: 41.0,
+            rps: 200.0,
+            write_rps: 100.0,
+            value_kb: 16.0,
+            txn_ops: 16,
+            list_lag_s: 5.0,
+            market: 0,
+            boot_s: 20.0,
+            teams: Vec::new(),
+            kinds: vec![("c8".into(), 8.0, Vec::new())],
+            up: Vec::new(),
+        }
+    }
+
+    pub fn limits(&self) -> BTreeMap<String, f64> {
+        let limited = self.teams.iter().filter(|(_, limit)| *limit > 0.0);
+        limited.cloned().collect()
+    }
+
+    pub fn cpus(&self, kind: &str) -> f64 {
+        let found = self.kinds.iter().find(|(name, ..)| name == kind);
+        found.map_or(8.0, |(_, cpus, _)| *cpus)
+    }
+
+    pub fn boot_ms(&self, _kind: &str) -> u64 {
+        ms(self.boot_s)
+    }
+
+    pub fn types(&self) -> Value {
+        let kinds = self.kinds.iter().map(|(name, cpus, zones)| {
+            let zones = if zones.is_empty() { &self.zones } else { zones };
+            let zones = zones.iter().map(|z| z.as_str().into()).collect();
+            map(vec![
+                ("sku", name.as_str().into()),
+                ("cpus", (*cpus).into()),
+                ("cards", 0.0.into()),
+                ("ramGb", (*cpus * 4.0).into()),
+                ("cacheGb", 50.0.into()),
+                ("pullGbPerS", 1.0.into()),
+                ("rate", (*cpus * 0.05).into()),
+                ("lowPrice", (*cpus * 0.02).into()),
+                ("startupS", self.boot_s.into()),
+                ("halls", Value::Array(zones)),
+            ])
+        });
+        map(vec![("hosttypes", Value::Array(kinds.collect()))])
+    }
+
+    pub fn settings(&self, at: usize) -> Settings {
+        let name = |n: usize| format!("node-{n}");
+        let zone = |n: usize| self.zones[n % self.zones.len()].clone();
+        let others: Vec<serde_json::Value> = (0..self.nodes)
+            .filter(|n| *n != at)
+            .map(|n| {
+                let addr = format!("10.0.0.{}:8081", n + 1);
+                serde_json::json!({"host_name": name(n), "area": zone(n), "addr": addr})
+            })
+            .collect();
+        let teams: Vec<serde_json::Value> = self
+            .teams
+            .iter()
+            .map(|(name, limit)| {
+                let cpus = limit / 2.0;
+                serde_json::json!({"name": name, "cpus": cpus, "cpus_max": limit})
+            })
+            .collect();
+        let settings = serde_json::json!({
+            "host_name": name(at), "area": zone(at),
+            "front": format!("10.0.0.{}:8080", at + 1),
+            "internal_addr": format!("10.0.0.{}:8081", at + 1),
+            "others": others,
+            "outside": {"cloud": CLOUD, "state": STATE},
+            "settings": {
+                "zones": self.zones, "teams": teams,
+                "workers": {"report_s": self.report_s, "lease_s": self.lease_s, "cancel_s": self.cancel_s},
+                "state": {"rps": self.rps, "write_rps": self.write_rps,
+                          "value_kb": self.value_kb, "txn_ops": self.txn_ops},
+                "cloud": {"rps": 20.0, "list_lag_s": self.list_lag_s},
+                "resources": {"sockets": 1000},
+            }
+        });
+        Settings::parse(&settings.to_string()).expect("the settings of a case")
+    }
+
+    fn read(&mut self, words: &Words) {
+        let figures: [(&str, &mut f64); 9] = [
+            ("report", &mut self.report_s),
+            ("lease", &mut self.lease_s),
+            ("cancel", &mut self.cancel_s),
+            ("rps", &mut self.rps),
+            ("write_rps", &mut self.write_rps),
+            ("value_kb", &mut self.value_kb),
+            ("lag", &mut self.list_lag_s),
+            ("boot", &mut self.boot_s),
+            ("unused", &mut 0.0),
+        ];
+        for (word, figure) in figures {
+            if let Some(value) = words.number(word) {
+                *figure = value;
+            }
+        }
+        self.nodes = words.number("nodes").map_or(self.nodes, |n| n as usize);
+        self.txn_ops = words.number("txn_ops").map_or(self.txn_ops, |n| n as usize);
+        self.market = words.number("market").map_or(self.market, |n| n as usize);
+        if let Some(zones) = words.after("zones") {
+            self.zones = zones.split(',').map(str::to_owned).collect();
+        }
+    }
+}
+
+impl Script {
+    pub fn parse(text: &str) -> Script {
+        let mut script = Script {
+            site: Site::empty(),
+            lines: Vec::new(),
+            calm_at: 0,
+            until: 0,
+            expected: Vec::new(),
+        };
+        for line in text.lines() {
+            let line = line.split('#').next().unwrap_or("").trim();
+            let words = Words(line.split_whitespace().collect());
+            match words.at(0) {
+                "" => {}
+                "site" => script.site.read(&words),
+                "team" => {
+                    let limit = words.number("limit").unwrap_or(0.0);
+                    script.site.teams.push((words.at(1).into(), limit));
+                }
+                "machines" => {
+                    let count = words.figure(1) as usize;
+                    let up = (words.at(2).into(), words.at(3).into(), count);
+                    script.site.up.push(up);
+                }
+                "calm" => script.calm_at = ms(words.figure(1)),
+                "end" => script.until = ms(words.figure(1)),
+                "expect" => {
+                    let from = words.ms("from").unwrap_or(0);
+                    let to = words.ms("to").unwrap_or(u64::MAX);
+                    let least = words.figure(2) as usize;
+                    script.expected.push((words.at(1).into(), least, from, to));
+                }
+                "at" => {
+                    let rest = Words(words.0[2..].to_vec());
+                    script.lines.push((ms(words.figure(1)), deed(&rest)));
+                }
+                other => panic!("{other}: no word of a case"),
+            }
+        }
+        if script.site.teams.is_empty() {
+            script.site.teams.push(("t1".into(), 0.0));
+        }
+        script
+    }
+}
+
+fn deed(words: &Words) -> Deed {
+    let for_ms = words.ms("for").unwrap_or(0);
+    match words.at(0) {
+        "submit" => Deed::Submit {
+            count: words.figure(1) as u64,
+            every_ms: words.ms("every").unwrap_or(0),
+            cancelled: words.number("cancelled").unwrap_or(0.0),
+            shape: Shape {
+                tasks: words.number("tasks").unwrap_or(1.0) as u32,
+                cpus: words.number("cpus").unwrap_or(1.0),
+                run_ms: words.ms("run").unwrap_or(10_000),
+                team: words.after("team").unwrap_or("t1").into(),
+                urgency: words.after("urgency").unwrap_or("normal").into(),
+                zone: words.after("zone").map(str::to_owned),
+                one_zone: words.has("together"),
+                spread: words.has("apart"),
+            },
+        },
+        "cancel" => Deed::Cancel {
+            count: words.figure(1) as usize,
+            through: who(words.after("through").unwrap_or("other")),
+            hang_ms: words.ms("hang").unwrap_or(0),
+        },
+        "refuse" => Deed::Refuse(who(words.at(1)), for_ms),
+        "outage" => Deed::Outage(for_ms),
+        "slow" => Deed::Slow(ms(words.figure(1)), for_ms),
+        "lost-answers" => Deed::LostAnswers(words.figure(1), for_ms),
+        "late-writes" => Deed::LateWrites(words.figure(1), for_ms),
+        "cut" => Deed::Cut {
+            who: who(words.at(1)),
+            sides: words
+                .all_after("from")
+                .iter()
+                .filter_map(|side| match side.as_str() {
+                    "state" => Some(Side::State),
+                    "peers" => Some(Side::Peers),
+                    "workers" => Some(Side::Workers),
+                    "users" => Some(Side::Users),
+                    _ => None,
+                })
+                .collect(),
+            for_ms,
+            holds: words.has("held"),
+        },
+        "kill" => Deed::Kill(who(words.at(1)), words.ms("back").unwrap_or(3000)),
+        "halt" => Deed::Halt(who(words.at(1)), for_ms),
+        "cloud-outage" => Deed::CloudAway(for_ms),
+        "machines" => Deed::Machines {
+            ill: match words.at(1) {
+                "hang" => Ill::Hang,
+                "deaf" => Ill::Deaf,
+                "mute" => Ill::Mute,
+                "cut" => Ill::Cut,
+                "die" => Ill::Die,
+                other => panic!("{other}: what ails the machines?"),
+            },
+            share: words.number("share").unwrap_or(1.0),
+            zone: words.after("zone").map(str::to_owned),
+            for_ms,
+        },
+        "late-reports" => Deed::LateReports(words.figure(1), for_ms),
+        "keep-reports" => Deed::KeepReports(for_ms),
+        "looks" => Deed::Looks(for_ms),
+        "cancel-at-end" => Deed::CancelAtEnd(words.figure(1), for_ms),
+        "boot" => Deed::Boot(ms(words.figure(1))),
+        "zones-apart" => Deed::ZonesApart(for_ms),
+        "odd" => Deed::Odd(words.figure(1) as u64),
+        other => panic!("{other}: no deed of a case"),
+    }
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -12,42 +12,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-pub type Fields = Vec<(&'static str, Value)>;
+pub mod state;
+pub mod values;
 
-pub fn map(fields: Fields) -> Value {
-    Value::Map(
-        fields
-            .into_iter()
-            .map(|(k, v)| (Value::from(k), v))
-            .collect(),
-    )
-}
-
-pub fn get<'a>(value: &'a Value, key: &str) -> Option<&'a Value> {
-    let pairs = value.as_map()?;
-    pairs
-        .iter()
-        .find(|(k, _)| k.as_text() == Some(key))
-        .map(|(_, v)| v)
-}
-
-pub fn text(value: &Value, key: &str) -> String {
-    get(value, key)
-        .and_then(Value::as_text)
-        .unwrap_or("")
-        .to_owned()
-}
-
-pub fn number(value: &Value, key: &str) -> u64 {
-    let integer = get(value, key).and_then(Value::as_integer);
-    integer.and_then(|i| u64::try_from(i).ok()).unwrap_or(0)
-}
-
-fn list<'a>(value: &'a Value, key: &str) -> &'a [Value] {
-    get(value, key)
-        .and_then(Value::as_array)
-        .map_or(&[], Vec::as_slice)
-}
+use state::{hold_ms, Limits, State};
+use values::list;
+pub use values::{map, number, text};
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -131,220 +101,42 @@
 
 // ---- the state service
 
-#[derive(Default)]
-struct State {
-    revision: u64,
-    keys: BTreeMap<String, (Value, u64, u64)>,
-    leases: BTreeMap<u64, (Duration, Instant)>,
-    changes: Vec<(u64, String, Option<Value>)>,
-    /// Every transaction that was carried out.
-    carried_out: Vec<Value>,
-}
-
-impl State {
-    fn expire(&mut self) {
-        let now = Instant::now();
-        let ended: Vec<u64> = self
-            .leases
-            .iter()
-            .filter(|(_, (_, until))| *until <= now)
-            .map(|(id, _)| *id)
-            .collect();
-        for lease in ended {
-            self.end(lease);
-        }
-    }
-
-    fn end(&mut self, lease: u64) {
-        self.leases.remove(&lease);
-        let keys: Vec<String> = self
-            .keys
-            .iter()
-            .filter(|(_, v)| v.2 == lease)
-            .map(|(k, _)| k.clone())
-            .collect();
-        for key in keys {
-            self.revision += 1;
-            self.keys.remove(&key);
-            self.changes.push((self.revision, key, None));
-        }
-    }
-
-    fn txn(&mut self, body: &Value) -> (u16, Value) {
-        let failed: Vec<Value> = list(body, "if")
-            .iter()
-            .filter(|c| {
-                let is = self
-                    .keys
-                    .get(&text(c, "path"))
-                    .map_or(0, |(_, stamp, _)| *stamp);
-                is != number(c, "stamp")
-            })
-            .map(|c| Value::from(text(c, "path")))
-            .collect();
-        if !failed.is_empty() {
-            let failed = Value::Array(failed);
-            return (
-                409,
-                map(vec![
-                    ("failed", failed),
-                    ("ledgerRev", self.revision.into()),
-                ]),
-            );
-        }
-        let changes = list(body, "apply");
-        if !changes.is_empty() {
-            self.revision += 1;
-        }
-        for change in changes {
-            if let Some(key) = get(change, "set").and_then(Value::as_text) {
-                let data = get(change, "data").cloned().unwrap_or(Value::Null);
-                let held = (data.clone(), self.revision, number(change, "hold"));
-                self.keys.insert(key.to_owned(), held);
-                self.changes
-                    .push((self.revision, key.to_owned(), Some(data)));
-            } else {
-                let key = text(change, "remove");
-                self.keys.remove(&key);
-                self.changes.push((self.revision, key, None));
-            }
-        }
-        (200, map(vec![("ledgerRev", self.revision.into())]))
-    }
-
-    fn item(key: &str, (data, stamp, hold): &(Value, u64, u64)) -> Value {
-        let (path, data) = (Value::from(key), data.clone());
-        map(vec![
-            ("path", path),
-            ("data", data),
-            ("stamp", (*stamp).into()),
-            ("hold", (*hold).into()),
-        ])
-    }
-
-    fn news(&self, prefix: &str, after: u64) -> Vec<Value> {
-        let seen = self
-            .changes
-            .iter()
-            .filter(|(r, k, _)| *r > after && k.starts_with(prefix));
-        seen.map(|(revision, key, data)| match data {
-            Some(data) => {
-                let (key, data) = (Value::from(key.as_str()), data.clone());
-                map(vec![
-                    ("set", key),
-                    ("data", data),
-                    ("stamp", (*revision).into()),
-                ])
-            }
-            None => map(vec![
-                ("remove", key.as_str().into()),
-                ("stamp", (*revision).into()),
-            ]),
-        })
-        .collect()
-    }
-}
-
-fn query(target: &str, name: &str) -> String {
-    let query = target.split_once('?').map_or("", |(_, q)| q);
-    let found = query
-        .split('&')
-        .filter_map(|p| p.split_once('='))
-        .find(|(k, _)| *k == name);
-    found.map_or(String::new(), |(_, v)| v.to_owned())
-}
-
 /// Starts a state service; while `away` is set it answers 503 to everything.
 pub fn state_service(away: Arc<AtomicBool>) -> SocketAddr {
-    let state = Mutex::new(State::default());
+    let began = Instant::now();
+    let clock = move || began.elapsed().as_millis() as u64;
+    let state = Mutex::new(State::new(Limits {
+        value_bytes: 16 * 1024,
+        txn_ops: 16,
+    }));
     serve(move |method, target, body| {
         if away.load(Ordering::SeqCst) {
-            let mut state = lock(&state);
-            for (ttl, until) in state.leases.values_mut() {
-                *until = Instant::now() + *ttl;
-            }
+            lock(&state).refill_leases(clock());
             return (503, Value::Null);
         }
         let path = target.split('?').next().unwrap_or("");
         if path == "/changes" {
-            let after = query(target, "after").parse().unwrap_or(0);
-            let hold: u64 = query(target, "holdMs").parse().unwrap_or(0);
-            let until = Instant::now() + Duration::from_millis(hold);
+            let until = clock() + hold_ms(target);
             loop {
                 let mut state = lock(&state);
-                state.expire();
-                let news = state.news(&query(target, "prefix"), after);
-                if !news.is_empty() || Instant::now() >= until {
-                    let news = Value::Array(news);
-                    return (
-                        200,
-                        map(vec![("ledgerRev", state.revision.into()), ("news", news)]),
-                    );
+                state.expire(clock());
+                if let Some(answer) = state.changes(target, clock() >= until) {
+                    return answer;
                 }
                 drop(state);
                 thread::sleep(Duration::from_millis(10));
             }
         }
         let mut state = lock(&state);
-        state.expire();
-        match (method, path) {
-            ("POST", "/txn") => {
-                let answer = state.txn(body);
-                if answer.0 == 200 {
-                    state.carried_out.push(body.clone());
-                }
-                answer
-            }
+        if path == "/copies" {
             // Late copies of all that was carried out so far.
-            ("POST", "/copies") => {
-                let copies = state.carried_out.clone();
-                let statuses = copies.iter().map(|copy| state.txn(copy).0);
-                let again = statuses.filter(|status| *status == 200).count() as u64;
-                let all = copies.len() as u64;
-                (200, map(vec![("all", all.into()), ("again", again.into())]))
-            }
-            ("POST", "/grants") => {
-                let lease = state.leases.keys().last().map_or(1, |l| l + 1);
-                let ttl = Duration::from_millis(number(body, "ttlMs"));
-                state.leases.insert(lease, (ttl, Instant::now() + ttl));
-                (200, map(vec![("hold", lease.into())]))
-            }
-            ("GET", "/kv") => {
-                let (prefix, after) = (query(target, "prefix"), query(target, "after"));
-                let items = state
-                    .keys
-                    .iter()
-                    .filter(|(k, _)| k.starts_with(&prefix) && **k > after);
-                let items = items.map(|(k, v)| State::item(k, v)).collect();
-                let items = Value::Array(items);
-                (
-                    200,
-                    map(vec![("pairs", items), ("ledgerRev", state.revision.into())]),
-                )
-            }
-            ("GET", _) => {
-                let key = path.strip_prefix("/kv/").unwrap_or("");
-                match state.keys.get(key) {
-                    Some(held) => (200, State::item(key, held)),
-                    None => (404, map(vec![("ledgerRev", state.revision.into())])),
-                }
-            }
-            _ => {
-                let lease = path
-                    .split('/')
-                    .nth(2)
-                    .and_then(|l| l.parse().ok())
-                    .unwrap_or(0);
-                let Some((ttl, until)) = state.leases.get_mut(&lease) else {
-                    return (404, Value::Null);
-                };
-                *until = Instant::now() + *ttl;
-                if method == "DELETE" {
-                    state.end(lease);
-                }
-                (200, Value::Null)
-            }
+            let copies = state.carried_out.clone();
+            let statuses = copies.iter().map(|copy| state.txn(copy).0);
+            let again = statuses.filter(|status| *status == 200).count() as u64;
+            let all = copies.len() as u64;
+            return (200, map(vec![("all", all.into()), ("again", again.into())]));
         }
+        state.handle(clock(), method, target, body)
     })
 }
 
--- a/tests/transport.rs
+++ b/tests/transport.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use lichencrank::transport::{Door, Happening, Transport};
+use lichencrank::transport::{Door, Happening, Network, Transport};
 
 /// As many as the transport leaves of 72.
 const MOST: usize = 64;
