--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -444,6 +444,20 @@
         }
     }
 
+    /// How a job stands that was read as not over. What was read may be older than what this node has
+    /// told another user meanwhile; nobody gets an older answer after that.
+    fn standing(&self, job: JobId, done: u64, running: u64) -> Response {
+        match self.finals.get(&job) {
+            Some(over) => Self::final_answer(job, *over),
+            None => Self::progress(job, done, running),
+        }
+    }
+
+    fn tell_progress(&mut self, id: FrontId, job: JobId, done: u64, running: u64) {
+        let response = self.standing(job, done, running);
+        self.finish(id, response);
+    }
+
     // ---- the shared transactions
 
     /// Sends what waits, once the transaction before is answered.
@@ -525,9 +539,12 @@
             let job = open.job;
             match &outcome {
                 Outcome::Applied(revision) => {
-                    self.know(job, *revision);
-                    let body = Self::status(JobState::Queued, job, 0, 0);
-                    self.finish(id, Response::new(201, body));
+                    if !self.finals.contains_key(&job) {
+                        self.know(job, *revision);
+                    }
+                    let mut response = self.standing(job, 0, 0);
+                    response.status = 201;
+                    self.finish(id, response);
                 }
                 Outcome::Conflict(failed) => {
                     let (live, over) = (records::live_key(job), records::over_key(job));
@@ -560,7 +577,7 @@
                 if withdraws {
                     self.send_withdrawal(id, job, item.stamp);
                 } else if let Some((done, running)) = (view.counts)(job) {
-                    self.finish(id, Self::progress(job, done, running));
+                    self.tell_progress(id, job, done, running);
                 } else {
                     self.enter(id, Stage::ReadingCounts);
                 }
@@ -575,7 +592,7 @@
                     known.counts = (done, running);
                     known.counted = now;
                 }
-                self.finish(id, Self::progress(job, done, running));
+                self.tell_progress(id, job, done, running);
             }
             (Stage::ReadingOver, Outcome::Item(Some(item))) => match item.record::<OverRecord>() {
                 Some(over) if over.state == JobState::Cancelled => {
@@ -614,7 +631,7 @@
             // That the job is not over is known; the counts are for display.
             (Stage::ReadingCounts, _) => {
                 let (done, running) = self.known.get(&job).map_or((0, 0), |k| k.counts);
-                self.finish(id, Self::progress(job, done, running));
+                self.tell_progress(id, job, done, running);
             }
             (_, outcome) => self.unanswered(id, &outcome, view, now),
         }
@@ -672,6 +689,10 @@
         let Some(open) = self.open.get(&id) else {
             return;
         };
+        if self.known.contains_key(&open.job) || self.finals.contains_key(&open.job) {
+            // It was accepted, here, while this was read.
+            return self.enter(id, Stage::ReadingLive);
+        }
         match open.want.clone() {
             Want::Repeat { otherwise } => self.finish(id, otherwise),
             // It lost a race against a withdrawal's record that is not there: try once more.
--- a/src/node/front/questions.rs
+++ b/src/node/front/questions.rs
@@ -201,9 +201,9 @@
         let known = self.known.get(&job);
         let shown = known.map(|k| (k.counts, now.since(k.counted) < COUNTS_FOR));
         match ((view.counts)(job), shown) {
-            (Some((done, running)), _) => self.finish(id, Self::progress(job, done, running)),
+            (Some((done, running)), _) => self.tell_progress(id, job, done, running),
             (None, Some(((done, running), fresh))) if fresh || !view.spare => {
-                self.finish(id, Self::progress(job, done, running));
+                self.tell_progress(id, job, done, running);
             }
             _ => self.enter(id, Stage::ReadingCounts),
         }
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -427,3 +427,28 @@
     desk.reply(bookings(Vec::new()));
     assert_eq!(desk.answers[&polled], (200, "cancelled".into()));
 }
+
+/// A question that was read before a cancellation was told here must not be answered after it with what
+/// was read: users ask at all nodes within milliseconds.
+#[test]
+fn what_was_read_before_is_no_answer_after() {
+    let mut desk = Desk::new();
+    desk.accept(1..2, 7);
+    let polled = desk.poll(1);
+    let compared = desk.asked.remove(0);
+    desk.withdraw(1);
+    desk.leader_says(1, true);
+    desk.asked.push(compared);
+    desk.reply(Outcome::Applied(Stamp(7)));
+    assert_eq!(desk.answers[&polled], (200, "cancelled".into()));
+
+    // Nor is "never accepted" after the job was accepted here.
+    let polled = desk.poll(2);
+    desk.reply(Outcome::Item(None));
+    let over = desk.asked.remove(0);
+    desk.accept(2..3, 9);
+    desk.asked.push(over);
+    desk.reply(Outcome::Item(None));
+    assert!(!desk.answers.contains_key(&polled));
+    assert!(matches!(&desk.asked[0].0, Ask::Get(key) if key == "live/job-000002"));
+}
--- a/tests/simulated/users.rs
+++ b/tests/simulated/users.rs
@@ -232,6 +232,9 @@
                 said,
             },
         );
+        if said == Said::Refused {
+            self.mark("refused");
+        }
         if said == Said::Nothing {
             self.mark("unanswered");
             if asked == Asked::Withdrawal {
@@ -510,6 +513,7 @@
             Deed::CancelAtEnd(share, for_ms) => self.users.cancel_at_end = (share, now + for_ms),
             Deed::Boot(boot_ms) => self.cloud.boot_ms = Some(boot_ms),
             Deed::ZonesApart(for_ms) => self.troubles.zones_apart = now + for_ms,
+            Deed::ZoneCut(zone, for_ms) => self.troubles.zone_cut = (zone, now + for_ms),
         }
     }
 
