Nothing of a cancelled job is swept before all records are read; strays are stopped

The job looked as if nothing were booked, was marked for sweeping, its records were deleted after loading and its tasks ran on, 'not booked here', past cancel_s. Now no job comes to its end while records are being read, and a task that is booked nowhere and wanted by nobody is stopped.

--- a/src/coordination/hosts.rs
+++ b/src/coordination/hosts.rs
@@ -1,6 +1,6 @@
 //! A machine's life, and what is booked on it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use super::jobs::Resources;
@@ -112,6 +112,8 @@
     pub gone_by: Option<Time>,
     pub bookings: BTreeMap<TaskId, Booking>,
     pub leftovers: BTreeMap<(TaskId, Attempt), Leftover>,
+    /// Attempts in its last report that are booked nowhere and wanted by nobody.
+    pub strays: BTreeSet<(TaskId, Attempt)>,
     /// Direct `run`s without an answer: each may still be executed, even minutes from now.
     pub unanswered: BTreeMap<(TaskId, Attempt), u32>,
     pub used: Resources,
@@ -159,6 +161,7 @@
             gone_by: None,
             bookings: BTreeMap::new(),
             leftovers: BTreeMap::new(),
+            strays: BTreeSet::new(),
             unanswered: BTreeMap::new(),
             used: Resources::default(),
             idle_since: Some(now),
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -381,6 +381,10 @@
 
     /// After a booking ended or a task got done: the job may be at its end.
     fn settle(&mut self, id: JobId, now: Time) {
+        if self.phase == Phase::Loading {
+            // What is booked is not known before all records are read.
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -443,6 +447,11 @@
 
     /// All records are in: from now on reports complete the picture.
     pub fn on_loaded(&mut self, now: Time) {
+        let round = self.rules.report.mul_f64(1.25) + Duration::from_millis(500);
+        self.started_at = now;
+        self.enter(Phase::Gathering {
+            until: now.after(round),
+        });
         let ids: Vec<JobId> = self.jobs.keys().copied().collect();
         for id in ids {
             if let Some(job) = self.jobs.get_mut(&id) {
@@ -450,16 +459,11 @@
             }
             self.settle(id, now);
         }
-        let round = self.rules.report.mul_f64(1.25) + Duration::from_millis(500);
-        self.started_at = now;
         for host in self.hosts.values_mut() {
             // Only records speak for them; whether they are cut off or gone will show.
             host.heard_at = now;
             host.enter(Life::Silent);
         }
-        self.enter(Phase::Gathering {
-            until: now.after(round),
-        });
     }
 
     // ---- records
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -40,6 +40,12 @@
                 orders.push(Order::Clear { task, attempt });
             }
         }
+        let grace_s = 0.0;
+        orders.extend(host.strays.iter().map(|&(task, attempt)| Order::Stop {
+            task,
+            attempt,
+            grace_s,
+        }));
         let jobs = &self.jobs;
         for (&task, booking) in &mut host.bookings {
             let attempt = booking.attempt;
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -125,6 +125,7 @@
             self.new_session(host, report.session, own, now);
         }
         host.tick = report.tick;
+        host.strays.clear();
         for reported in &report.tasks {
             self.reported(host, reported, now);
         }
@@ -331,6 +332,7 @@
     /// so it is stopped; until it has ended, it is not started elsewhere.
     fn stray(&mut self, host: &mut Host, task: TaskId, attempt: Attempt, now: Time) {
         log::warn!("{}: {task} attempt {attempt} is not booked here", host.name);
+        host.strays.insert((task, attempt));
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -339,6 +341,7 @@
         if job.phase != JobPhase::Active || !free || host.bookings.contains_key(&task) {
             return;
         }
+        host.strays.remove(&(task, attempt));
         let (session, need) = (host.session, job.need);
         let state = TaskState::Booked {
             host: host.name.clone(),
