--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -4,6 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use super::division::Step;
 use super::records::{self, FinalRecord};
 use crate::coordination::jobs::{Chunk, Job, JobPhase};
 use crate::protocol::state::{value, Change, Txn};
@@ -13,8 +14,9 @@
 
 /// A transaction on its way, and what it will mean once it is written.
 #[derive(Debug)]
-struct Batch {
-    txn: Txn,
+pub(super) struct Batch {
+    pub(super) txn: Txn,
+    pub(super) division: Option<Step>,
     chunks: Vec<(JobId, u32, u64)>,
     finished: Vec<JobId>,
     moved: Vec<JobId>,
@@ -50,7 +52,10 @@
 }
 
 /// What a transaction may hold at the most, with room to spare for its own framing.
-const MAX_BYTES: usize = 44 * 1024;
+/// No transaction is made smaller than this, and no value, whatever is refused.
+const LEAST_OPS: usize = 4;
+const LEAST_VALUE: usize = 400;
+pub(super) const MAX_BYTES: usize = 44 * 1024;
 
 pub struct Ledger {
     holder: Stamp,
@@ -62,6 +67,14 @@
     /// Records whose version must be read before they can be written again.
     unsure: BTreeSet<(JobId, u32)>,
     flight: Flight,
+    /// What a value and a transaction may hold at the most.
+    pub max_value: usize,
+    pub txn_ops: usize,
+    /// Jobs of which a record has become too large, those whose records are being divided, and those
+    /// that wait until their record is small enough.
+    too_large: BTreeSet<JobId>,
+    pub(super) dividing: BTreeSet<JobId>,
+    pub(super) held: BTreeSet<JobId>,
 }
 
 impl Ledger {
@@ -76,9 +89,24 @@
             sweeping: BTreeSet::new(),
             unsure: BTreeSet::new(),
             flight: Flight::Idle,
+            max_value: usize::MAX,
+            txn_ops: usize::MAX,
+            too_large: BTreeSet::new(),
+            dividing: BTreeSet::new(),
+            held: BTreeSet::new(),
         }
     }
 
+    /// Takes the jobs of which a record has become too large.
+    pub fn take_too_large(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.too_large).into_iter().collect()
+    }
+
+    /// Nothing more is booked of a job while its records can't be written.
+    pub fn is_held(&self, job: JobId) -> bool {
+        self.held.contains(&job) || self.dividing.contains(&job)
+    }
+
     pub fn holder(&self) -> Stamp {
         self.holder
     }
@@ -125,6 +153,7 @@
     pub fn has_urgent(&self) -> bool {
         !self.urgent.is_empty()
             || !self.finishing.is_empty()
+            || !self.dividing.is_empty()
             || matches!(self.flight, Flight::Repeat(_))
     }
 
@@ -163,8 +192,10 @@
             Flight::Idle => {}
         }
         self.forget_swept(jobs);
+        let max_changes = max_changes.min(self.txn_ops);
         let mut batch = Batch {
             txn: Txn::default(),
+            division: None,
             chunks: Vec::new(),
             finished: Vec::new(),
             moved: Vec::new(),
@@ -172,11 +203,14 @@
         };
         batch.txn.require(records::HOLDER.to_owned(), self.holder);
         let mut bytes = 0;
-        self.add_finished(jobs, max_changes, &mut batch, &mut bytes);
-        self.sort_urgent(jobs);
-        self.add_chunks(jobs, max_changes, spare, &mut batch, &mut bytes);
-        if spare {
-            self.add_swept(jobs, max_changes, &mut batch);
+        self.add_division(jobs, max_changes, &mut batch);
+        if batch.division.is_none() {
+            self.add_finished(jobs, max_changes, &mut batch, &mut bytes);
+            self.sort_urgent(jobs);
+            self.add_chunks(jobs, max_changes, spare, &mut batch, &mut bytes);
+            if spare {
+                self.add_swept(jobs, max_changes, &mut batch);
+            }
         }
         if batch.txn.changes.is_empty() {
             return None;
@@ -241,6 +275,11 @@
             if matches!(job.phase, JobPhase::Finishing | JobPhase::Sweeping) {
                 continue;
             }
+            if job.division.is_some() {
+                // All of it is written by the division, or after it.
+                later.push((id, number, urgent));
+                continue;
+            }
             if job.chunk(number).is_some_and(|c| c.unsure) {
                 // It comes back once its version is known.
                 continue;
@@ -267,7 +306,14 @@
                 if job.phase == JobPhase::Withdrawn && chunk.stamp == Stamp(0) {
                     continue;
                 }
-                *bytes += record.size_estimate();
+                let size = records::size(&record);
+                if size > self.max_value {
+                    self.too_large.insert(id);
+                    later.push((id, number, false));
+                    continue;
+                }
+                self.held.remove(&id);
+                *bytes += size;
                 if job.phase == JobPhase::Active {
                     // Nothing is booked after a cancellation.
                     batch.txn.require(records::live_key(id), job.live);
@@ -300,6 +346,15 @@
                 batch.txn.changes.extend([gone, kept]);
                 batch.moved.push(id);
             }
+            let beyond = job.beyond.keys();
+            for number in beyond.filter(|n| job.chunk(**n).is_none()) {
+                if batch.txn.changes.len() >= max {
+                    return;
+                }
+                let gone = Change::delete(records::run_key(id, *number));
+                batch.txn.changes.push(gone);
+                batch.swept.push((id, *number));
+            }
             for (number, chunk) in job.chunks.iter().enumerate() {
                 let number = number as u32;
                 let known = chunk
@@ -324,6 +379,9 @@
             return Verdict::Again;
         };
         let mut written = Written::default();
+        if let Some(step) = &batch.division {
+            written.chunks = self.step_applied(jobs, step, revision);
+        }
         for (id, number, changes) in batch.chunks {
             if let Some(chunk) = jobs.get_mut(&id).and_then(|j| j.chunk_mut(number)) {
                 chunk.stamp = revision;
@@ -332,6 +390,9 @@
             }
         }
         for (id, number) in batch.swept {
+            if let Some(job) = jobs.get_mut(&id) {
+                job.beyond.remove(&number);
+            }
             if let Some(slot) = jobs
                 .get_mut(&id)
                 .and_then(|j| j.chunks.get_mut(number as usize))
@@ -363,6 +424,7 @@
                 let moved = j.to_move.is_none();
                 j.phase == JobPhase::Sweeping
                     && moved
+                    && j.beyond.is_empty()
                     && j.chunks.iter().flatten().all(|c| unwritten(c))
             })
         };
@@ -384,6 +446,11 @@
         let mut withdrawn = Vec::new();
         for key in failed {
             if let Some(id) = records::parse_live(key) {
+                if batch.division.as_ref().is_some_and(|step| step.job == id) {
+                    // Cancelled, or an earlier transaction, thought lost, was carried out: the watch
+                    // says which.
+                    continue;
+                }
                 if batch.moved.contains(&id) {
                     // Only we move these: an earlier transaction, thought lost, was carried out.
                     if let Some(job) = jobs.get_mut(&id) {
@@ -419,6 +486,33 @@
         }
     }
 
+    /// Refused for its size. It is divided, and what is too large by itself is known to be so.
+    pub fn invalid(&mut self) {
+        let Flight::Sent(batch) = std::mem::replace(&mut self.flight, Flight::Idle) else {
+            return;
+        };
+        let count = batch.txn.changes.len();
+        let values = batch.txn.changes.iter().filter_map(|c| match c {
+            Change::Put { value, .. } => Some(records::size(value)),
+            Change::Delete { .. } => None,
+        });
+        let largest = values.max().unwrap_or(0);
+        if count > LEAST_OPS {
+            self.txn_ops = (count / 2).max(LEAST_OPS);
+        } else {
+            self.max_value = self
+                .max_value
+                .min(largest.saturating_sub(1))
+                .max(LEAST_VALUE);
+        }
+        log::info!(
+            "the state service refuses {count} changes, the largest of {largest} bytes: from now on {} and {}",
+            self.txn_ops,
+            self.max_value
+        );
+        self.put_back(batch);
+    }
+
     /// No answer: it may be carried out at any time, so only the very same may follow.
     pub fn lost(&mut self) {
         if let Flight::Sent(batch) = std::mem::replace(&mut self.flight, Flight::Idle) {
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -121,17 +121,15 @@
     pub fn done_count(&self) -> u64 {
         self.done.iter().map(|(_, n)| u64::from(*n)).sum()
     }
+}
 
-    /// About the size of the record in the form whose size is limited.
-    pub fn size_estimate(&self) -> usize {
-        200 + self.team.len()
-            + self.done.len() * 12
-            + self.booked.len() * 48
-            + self.tried.len() * 14
-    }
+/// The size of a record in the form whose size is limited.
+pub fn size(record: &impl Serialize) -> usize {
+    serde_json::to_vec(record).map_or(usize::MAX, |v| v.len())
 }
 
-/// How many tasks a chunk holds so that its record surely stays below the limit.
+/// How many tasks a chunk holds so that its record stays below the limit with machine names, attempts
+/// and sessions of usual length. One that does not is divided further.
 pub fn chunk_size(value_kb: f64) -> u32 {
-    ((value_kb * 1024.0 - 400.0) / 52.0).clamp(1.0, 256.0) as u32
+    ((value_kb * 1024.0 - 350.0) / 27.0).clamp(1.0, 256.0) as u32
 }
--- a/src/coordination/hosts.rs
+++ b/src/coordination/hosts.rs
@@ -112,6 +112,12 @@
     pub gone_by: Option<Time>,
     pub bookings: BTreeMap<TaskId, Booking>,
     pub leftovers: BTreeMap<(TaskId, Attempt), Leftover>,
+    /// Images that are likely there, the most recently used last, and their sizes.
+    pub images: Vec<(String, f64)>,
+    /// Since when it has been closed as surplus.
+    pub surplus_since: Option<Time>,
+    /// It was opened for a task that is to find it open until then.
+    pub open_until: Time,
     /// Attempts in its last report that are booked nowhere and wanted by nobody.
     pub strays: BTreeSet<(TaskId, Attempt)>,
     /// Direct `run`s without an answer: each may still be executed, even minutes from now.
@@ -161,6 +167,9 @@
             gone_by: None,
             bookings: BTreeMap::new(),
             leftovers: BTreeMap::new(),
+            images: Vec::new(),
+            surplus_since: None,
+            open_until: Time::default(),
             strays: BTreeSet::new(),
             unanswered: BTreeMap::new(),
             used: Resources::default(),
@@ -229,10 +238,25 @@
         if closed {
             log::debug!("{}: open again", self.name);
             self.cordon = None;
+            self.surplus_since = None;
         }
         closed
     }
 
+    /// A task has its image there. The most recently used are kept, as far as the cache goes.
+    pub fn has_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
+        self.images.retain(|(name, _)| name != image);
+        self.images.push((image.to_owned(), gb));
+        let mut kept: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while kept > cache_gb && self.images.len() > 1 {
+            kept -= self.images.remove(0).1;
+        }
+    }
+
+    pub fn holds_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(name, _)| name == image)
+    }
+
     /// True if the report is newer than all that was heard before; older ones count for nothing.
     pub fn is_news(&self, report: &Report) -> bool {
         (report.session, report.tick) > (self.session, self.tick)
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -1,6 +1,6 @@
 //! Jobs as the leader knows them: which tasks wait, which are booked where, which are done.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::bookkeeping::records::{ChunkRecord, JobRecord, OverRecord};
@@ -59,6 +59,13 @@
     }
 }
 
+/// A replica that has run for so long is well.
+pub const SETTLED: Duration = Duration::from_secs(20);
+/// A replica that ended before is started again after this, and after twice as long each time.
+const REPLICA_PAUSE: Duration = Duration::from_millis(250);
+/// No job waits longer than this after a failure.
+const LONGEST_PAUSE: Duration = Duration::from_secs(30);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum JobPhase {
     /// Accepted; its tasks are placed as they can be.
@@ -71,6 +78,22 @@
     Sweeping,
 }
 
+/// A division of a job's run records, see [`crate::bookkeeping::division`].
+#[derive(Clone, Debug, Default)]
+pub struct Division {
+    /// So many numbers the old records had.
+    pub old_count: u32,
+    /// New records that are written already, and up to which change; and those of the last step.
+    pub prepared: BTreeMap<u32, u64>,
+    pub last: BTreeMap<u32, u64>,
+}
+
+impl Default for TaskState {
+    fn default() -> TaskState {
+        TaskState::Waiting { last: Attempt(0) }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum TaskState {
     /// Not placed; attempts up to `last` were used.
@@ -99,6 +122,25 @@
     pub unsure: bool,
 }
 
+impl Chunk {
+    pub fn new(tasks: Vec<TaskState>, stamp: Stamp, changes: u64) -> Chunk {
+        let is_booked = |t: &&TaskState| matches!(t, TaskState::Booked { .. });
+        Chunk {
+            booked: tasks.iter().filter(is_booked).count() as u32,
+            tasks,
+            stamp,
+            changes,
+            written: 0,
+            unsure: false,
+        }
+    }
+
+    /// Nothing of it was ever booked.
+    pub fn is_untouched(&self) -> bool {
+        self.tasks.iter().all(|t| *t == TaskState::default())
+    }
+}
+
 #[derive(Debug)]
 pub struct Job {
     pub id: JobId,
@@ -125,6 +167,10 @@
     pub failures: u32,
     pub failed_on: BTreeSet<HostName>,
     pub withdrawn_at: Option<Time>,
+    /// Its run records are being divided into smaller ones.
+    pub division: Option<Division>,
+    /// Run records of a division that never came into force, and their versions.
+    pub beyond: BTreeMap<u32, Stamp>,
     /// It got done, and its final record still stands in the place of its description.
     pub to_move: Option<OverRecord>,
 }
@@ -157,6 +203,8 @@
             failures: 0,
             failed_on: BTreeSet::new(),
             withdrawn_at: None,
+            division: None,
+            beyond: BTreeMap::new(),
             to_move: None,
             spec: Some(Box::new(spec)),
         }
@@ -188,6 +236,8 @@
             failures: 0,
             failed_on: BTreeSet::new(),
             withdrawn_at: Some(now),
+            division: None,
+            beyond: BTreeMap::new(),
             to_move: None,
         }
     }
@@ -229,6 +279,25 @@
         }
     }
 
+    /// Its tasks are replicas without an end.
+    pub fn is_service(&self) -> bool {
+        self.spec.as_ref().is_some_and(|s| s.is_service())
+    }
+
+    /// A replica of a service ended by itself or failed, after it had run for so long. One that kept
+    /// running shows that the earlier failures were not the job's own mistake; one that ends at once
+    /// is started again after a growing pause.
+    pub fn replica_ended(&mut self, ran: Duration, now: Time) {
+        if ran >= SETTLED {
+            self.failures = 0;
+            self.failed_on.clear();
+            return;
+        }
+        self.failures += 1;
+        let pause = REPLICA_PAUSE * 2u32.pow(self.failures.min(8) - 1);
+        self.not_before = now.after(pause.min(LONGEST_PAUSE));
+    }
+
     /// Takes in a run record; returns the bookings it holds.
     pub fn load(
         &mut self,
@@ -237,6 +306,15 @@
         stamp: Stamp,
     ) -> Vec<(u32, Attempt, HostName, Session)> {
         let at = number as usize;
+        let chunks = self.chunks.iter().flatten();
+        let divided = self.spec.is_none() && record.size != self.chunk_size;
+        if divided && chunks.count() > 0 || self.spec.is_some() && at >= self.chunks.len() {
+            // Part of a division that was broken off: what it holds stands in the larger records too,
+            // and those are in force.
+            log::info!("{}: run record {number} is not in force", self.id);
+            self.beyond.insert(number, stamp);
+            return Vec::new();
+        }
         if self.spec.is_none() {
             self.chunk_size = record.size.max(1);
         }
@@ -289,14 +367,7 @@
             }
         }
         self.booked += booked;
-        self.chunks[at] = Some(Box::new(Chunk {
-            tasks,
-            booked,
-            stamp,
-            changes: 0,
-            written: 0,
-            unsure: false,
-        }));
+        self.chunks[at] = Some(Box::new(Chunk::new(tasks, stamp, 0)));
         bookings
     }
 
@@ -376,14 +447,8 @@
         let length = self.chunk_length(number);
         let slot = self.chunks.get_mut(number as usize)?;
         let chunk = slot.get_or_insert_with(|| {
-            Box::new(Chunk {
-                tasks: vec![TaskState::Waiting { last: Attempt(0) }; length as usize],
-                booked: 0,
-                stamp: Stamp(0),
-                changes: 0,
-                written: 0,
-                unsure: false,
-            })
+            let tasks = vec![TaskState::default(); length as usize];
+            Box::new(Chunk::new(tasks, Stamp(0), 0))
         });
         let task = chunk.tasks.get_mut((index % self.chunk_size) as usize)?;
         match task {
@@ -501,7 +566,7 @@
         self.failed_on.insert(host.clone());
         if self.suspect() {
             let pause = Duration::from_secs(1) * 2u32.pow(self.failures.min(9).saturating_sub(4));
-            self.not_before = now.after(pause.min(Duration::from_secs(30)));
+            self.not_before = now.after(pause.min(LONGEST_PAUSE));
         }
     }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //! in, actions go out, so that kept traces can be replayed.
 
 pub mod fleet;
+mod forecast;
 pub mod hosts;
 pub mod jobs;
 pub mod leadership;
@@ -9,6 +10,8 @@
 pub mod placement;
 mod preemption;
 mod reports;
+mod scaling;
+mod services;
 mod watch;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -85,10 +88,15 @@
     pub probes: usize,
     /// Direct commands that may be under way at once, for the same reason; the others wait.
     pub commands: usize,
+    /// What a value and a transaction may hold at the most.
+    pub max_value: usize,
+    pub txn_ops: usize,
     /// Records of the lowest priority that may wait for being written; each higher one may have as
     /// many again. What is booked beyond that would only hold machines idle.
     pub records: usize,
     pub teams: Vec<Team>,
+    /// Classes that are to begin within so many seconds.
+    pub hurried: Vec<(String, f64)>,
     pub tuning: Tuning,
 }
 
@@ -102,8 +110,11 @@
             chunk_size: crate::bookkeeping::records::chunk_size(service.state.value_kb),
             probes: (service.resources.sockets / 20).max(2),
             commands: (service.resources.sockets / 16).max(4),
+            max_value: (service.state.value_kb * 1024.0) as usize,
+            txn_ops: service.state.txn_ops,
             records: (service.state.write_rps / 2.0).max(4.0) as usize,
             teams: service.teams.clone(),
+            hurried: service.hurried(),
             tuning: tuning.clone(),
         }
     }
@@ -172,6 +183,10 @@
     now: Time,
     /// The time of day, in milliseconds, by which deadlines are judged.
     day_ms: u64,
+    /// Classes of which this leader has seen a job.
+    classes: BTreeSet<String>,
+    /// No replica is moved for the price alone before.
+    move_at: Time,
     /// How long tasks of a class ran, and how long their owners had guessed.
     runs: BTreeMap<String, (f64, f64)>,
 }
@@ -189,6 +204,8 @@
 /// A new leader that can't read the records answers workers for this part of what cancellations have
 /// beyond a worker's lease. The rest is for those confirmed just before its term.
 const BLIND_PART: f64 = 0.6;
+/// Classes remembered.
+const MAX_CLASSES: usize = 1000;
 /// A failure on a machine keeps the job's tasks away from it for this long.
 const AVOID: Duration = Duration::from_secs(20);
 
@@ -200,6 +217,9 @@
         types: Vec<MachineType>,
         now: Time,
     ) -> Self {
+        let mut ledger = Ledger::new(holder);
+        ledger.max_value = rules.max_value;
+        ledger.txn_ops = rules.txn_ops;
         Controller {
             term,
             phase: Phase::Loading,
@@ -208,7 +228,7 @@
             types,
             hosts: BTreeMap::new(),
             jobs: BTreeMap::new(),
-            ledger: Ledger::new(holder),
+            ledger,
             fleet: Fleet::new(term),
             unheard_zones: Vec::new(),
             used: BTreeMap::new(),
@@ -226,6 +246,8 @@
             started_at: now,
             now,
             day_ms: 0,
+            classes: BTreeSet::new(),
+            move_at: now,
             runs: BTreeMap::new(),
         }
     }
@@ -262,7 +284,16 @@
     /// A job's record, at the start or as news of the watch.
     pub fn on_job(&mut self, record: JobRecord, live: Stamp) {
         let id = record.spec.id;
-        if self.jobs.get(&id).is_some_and(|j| j.spec.is_some()) {
+        if let Some(job) = self.jobs.get_mut(&id).filter(|j| j.spec.is_some()) {
+            if job.division.is_some() && record.chunk == job.chunk_size {
+                // The answer to the last step of its division was lost.
+                let chunks = self.ledger.division_in_force(job, live);
+                let written = Written {
+                    chunks,
+                    ..Written::default()
+                };
+                self.on_written(&written, self.now);
+            }
             return;
         }
         log::debug!(
@@ -277,6 +308,9 @@
         let age = self.day_ms.saturating_sub(record.at_ms);
         let at = Time(self.now.0.saturating_sub(age));
         self.fleet.arrived(at, &record.spec);
+        if !self.classes.contains(&record.spec.class) && self.classes.len() < MAX_CLASSES {
+            self.classes.insert(record.spec.class.clone());
+        }
         self.jobs.insert(id, Job::new(record, live));
         self.place_wanted = true;
         if self.cancelled.contains_key(&id) {
@@ -389,7 +423,8 @@
             return;
         };
         match job.phase {
-            JobPhase::Active if job.done == job.total => {
+            // A division under way changes the record that the final one replaces.
+            JobPhase::Active if job.done == job.total && job.division.is_none() => {
                 job.enter(JobPhase::Finishing, now);
                 self.ledger.finish(id);
             }
@@ -468,10 +503,34 @@
 
     // ---- records
 
+    /// A record of the job has become too large: they are divided. What waits for one of them waits for
+    /// the new one that holds it.
+    fn divide(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if !self.ledger.divide(job) {
+            return;
+        }
+        let (of_job, others) = std::mem::take(&mut self.recording)
+            .into_iter()
+            .partition(|((job, _), _)| *job == id);
+        self.recording = others;
+        let of_job: BTreeMap<(JobId, u32), Vec<(HostName, TaskId)>> = of_job;
+        for (host, task) in of_job.into_values().flatten() {
+            let number = job.chunk_of(task.index);
+            let waiting = self.recording.entry((id, number)).or_default();
+            waiting.push((host, task));
+        }
+    }
+
     pub fn next_batch(&mut self, max_changes: usize, spare: bool) -> Option<Txn> {
         if self.phase == Phase::Loading {
             return None;
         }
+        for id in self.ledger.take_too_large() {
+            self.divide(id);
+        }
         self.ledger.next_batch(&mut self.jobs, max_changes, spare)
     }
 
@@ -496,6 +555,9 @@
         }
         // Bookings may have waited for room among the records.
         self.place_wanted = true;
+        for (id, _) in &written.chunks {
+            self.settle(*id, now);
+        }
         let mut ready: BTreeSet<HostName> = BTreeSet::new();
         for key in &written.chunks {
             let Some(waiting) = self.recording.remove(key) else {
@@ -562,6 +624,7 @@
             self.watch_hosts(now, may_act);
         }
         if may_act {
+            self.move_replicas(now);
             // Jobs that were told to wait after a failure come back without any event.
             if std::mem::take(&mut self.place_wanted) || now >= self.place_at {
                 self.place_at = now.after(PLACE_EVERY);
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -88,9 +88,14 @@
         self.whole.minus(&self.used)
     }
 
-    fn ranked(&self, at: usize, alone: bool, needs_gpu: bool) -> Ranked {
+    fn ranked(&self, at: usize, alone: bool, ready: bool, needs_gpu: bool) -> Ranked {
         let score = score(&self.whole, &self.used, needs_gpu);
-        Ranked { alone, score, at }
+        Ranked {
+            alone,
+            ready,
+            score,
+            at,
+        }
     }
 }
 
@@ -103,11 +108,12 @@
     now: Time,
 }
 
-/// A machine's place among those that may take a task: without a sibling task first, then by
-/// score, then by name.
+/// A machine's place among those that may take a task: without a sibling task first, then, for a
+/// service, with its image, then by score, then by name.
 #[derive(PartialEq)]
 struct Ranked {
     alone: bool,
+    ready: bool,
     score: f64,
     at: usize,
 }
@@ -125,7 +131,9 @@
         let by_score = self.score.total_cmp(&other.score);
         // Machines stand in the order of their names, so a tie goes to the first.
         let by_name = other.at.cmp(&self.at);
-        self.alone.cmp(&other.alone).then(by_score).then(by_name)
+        let by_place = self.alone.cmp(&other.alone);
+        let by_image = self.ready.cmp(&other.ready);
+        by_place.then(by_image).then(by_score).then(by_name)
     }
 }
 
@@ -321,7 +329,7 @@
             Priority::Critical
         };
         let records = self.rules.records * (1 + Priority::Low as usize - priority as usize);
-        if pass.now < job.not_before {
+        if pass.now < job.not_before || self.ledger.is_held(job.id) {
             return;
         }
         let plain = spec.types.is_none() && spec.zone.is_none() && !spec.one_zone && !spec.spread;
@@ -353,6 +361,10 @@
                     ranked = self.eligible(job, spec, &usable, pass);
                     continue;
                 }
+                if spec.is_service() && self.reopen_for(job, spec, &usable, pass.now) {
+                    self.place_wanted = true;
+                    return;
+                }
                 if !rank.patient {
                     Self::hold_room(job, spec, &usable, pass);
                 } else if plain {
@@ -364,7 +376,8 @@
             let open = &mut pass.open[best];
             open.used.add(&job.need);
             if job.need.fits(&open.free()) {
-                ranked.push(open.ranked(best, false, job.need.gpus > 0.0));
+                let ready = self.image_is_ready(spec, &open.name);
+                ranked.push(open.ranked(best, false, ready, job.need.gpus > 0.0));
             }
             *siblings.entry(open.zone.clone()).or_default() += 1;
             let name = open.name.clone();
@@ -393,12 +406,20 @@
                 && !(open.failed && self.failed_lately(&open.name, job.id, pass.now));
             if eligible {
                 let alone = !holding.contains(&open.name);
-                ranked.push(open.ranked(at, alone, needs_gpu));
+                let ready = self.image_is_ready(spec, &open.name);
+                ranked.push(open.ranked(at, alone, ready, needs_gpu));
             }
         }
         ranked.into()
     }
 
+    /// The exception to the order by score: a service is to run within moments, and an image takes
+    /// longer than that.
+    fn image_is_ready(&self, spec: &JobSpec, name: &HostName) -> bool {
+        let host = self.hosts.get(name).filter(|_| spec.is_service());
+        host.is_some_and(|h| h.holds_image(&spec.image))
+    }
+
     fn failed_lately(&self, name: &HostName, job: JobId, now: Time) -> bool {
         let host = self.hosts.get(name);
         let failed_at = host.and_then(|h| h.failed_jobs.get(&job));
@@ -434,7 +455,7 @@
     }
 
     /// An earlier attempt at the task is still in the machine's reports, or under way to it.
-    fn knows_of(&self, name: &HostName, task: TaskId) -> bool {
+    pub(super) fn knows_of(&self, name: &HostName, task: TaskId) -> bool {
         self.hosts.get(name).is_some_and(|host| {
             let attempts = (task, Attempt(0))..=(task, Attempt(u64::MAX));
             host.leftovers.range(attempts.clone()).next().is_some()
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -14,6 +14,8 @@
 const PREEMPT_LOSS_S: f64 = 4.0;
 /// So it is with work of the lowest priority, which is there to use what idles.
 const IDLE_LOSS_S: f64 = 20.0;
+/// For a service, which is missed at every moment and takes little, more may be lost.
+const SERVICE_LOSS_S: f64 = 60.0;
 /// A task that ends so soon is not worth stopping.
 const SOON_S: f64 = 5.0;
 /// A job that has waited too long has begun once so many of its tasks have run for so long.
@@ -68,7 +70,8 @@
         // Only what is there to use what idles makes room on many machines at once: the others' tasks
         // have just begun, and their images were fetched for nothing.
         let idle = ways.iter().filter(|w| w.idle).count();
-        let many = idle.min(most).max(1);
+        let many = if spec.is_service() { most } else { idle };
+        let many = many.min(most).max(1);
         for way in ways.into_iter().take(many) {
             let Way {
                 lost, name, tasks, ..
@@ -92,7 +95,7 @@
             .bookings
             .iter()
             .filter_map(|(task, b)| {
-                let lost = self.loss(*task, b, spec.priority, now)?;
+                let lost = self.loss(*task, b, spec, now)?;
                 Some((lost, *task, b.need))
             })
             .collect();
@@ -121,14 +124,14 @@
     }
 
     /// The run time that a task would lose; `None` if it may not, or had better not, be stopped.
-    fn loss(&self, task: TaskId, booking: &Booking, by: Priority, now: Time) -> Option<f64> {
+    fn loss(&self, task: TaskId, booking: &Booking, by: &JobSpec, now: Time) -> Option<f64> {
         let job = self.jobs.get(&task.job)?;
         let spec = job.spec.as_ref()?;
         let ran = booking.started.map_or(0.0, |s| now.since(s).as_secs_f64());
         // One that saves when it is stopped loses the time that takes.
         let saves = spec.checkpoint_s.0 > 0.0;
         let lost = if saves { spec.save_s.0.min(ran) } else { ran };
-        let may = spec.priority > by && booking.stop.is_none();
+        let may = spec.priority > by.priority && booking.stop.is_none();
         // The first tasks of a job that has waited too long are to have begun for good.
         let starve_after = seconds(self.rules.tuning.starve_after_s);
         let waited = Duration::from_millis(self.day_ms.saturating_sub(job.at_ms));
@@ -138,7 +141,9 @@
         }
         // What ends by itself that soon makes room without being stopped.
         let ends = self.expected_rest(job, booking.started, now) < SOON_S;
-        let most = if spec.priority == Priority::Low {
+        let most = if by.is_service() {
+            SERVICE_LOSS_S
+        } else if spec.priority == Priority::Low {
             IDLE_LOSS_S
         } else {
             PREEMPT_LOSS_S
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use super::hosts::{Booking, BookingPhase, Cordon, Ear, Host, Leftover, Life, StopWhy};
-use super::jobs::{Job, JobPhase, TaskState};
+use super::jobs::{Job, JobPhase, TaskState, SETTLED};
 use super::{Controller, Deposed, Phase};
 use crate::protocol::users::JobSpec;
 use crate::protocol::workers::{stops, Cause, Order, Report, TaskReport, TaskState as Reported};
 use crate::types::{seconds, Attempt, Session, TaskId, Tick, Time};
 
 const LEARN_KEEP: f64 = 0.98;
+/// Nobody knows when a replica ends: forecasts take it for long.
+const SERVICE_RUN_S: f64 = 600.0;
 /// An attempt that was started directly stays in its worker's memory for so many of its leases after
 /// it ended.
 const KEPT_LEASES: u32 = 4;
@@ -175,7 +177,11 @@
             (Some(_), Reported::Ended) => self.ended(host, reported, now),
             (Some(booking), _) => {
                 let told = booking.phase == BookingPhase::Ordered && booking.answered != Tick(0);
+                let waited = booking.started.is_none();
                 booking.seen(reported, now);
+                if waited && booking.started.is_some() {
+                    self.image_arrived(host, task);
+                }
                 if told {
                     host.heeded();
                 }
@@ -198,15 +204,30 @@
             cause,
             ..
         } = *reported;
-        let done = cause == Some(Cause::Done);
+        let service = self.jobs.get(&task.job).is_some_and(Job::is_service);
+        // A service is never done.
+        let done = cause == Some(Cause::Done) && !service;
+        let started = host.bookings.get(&task).and_then(|b| b.started);
+        let ran = started.map_or(Duration::ZERO, |s| now.since(s));
+        if let (Some(Cause::Done | Cause::Error), Some(job), true) =
+            (cause, self.jobs.get_mut(&task.job), service)
+        {
+            job.replica_ended(ran, now);
+            log::info!(
+                "{}: {task} ended by itself after {ran:?}: {cause:?}",
+                host.name
+            );
+        }
         match cause {
+            Some(Cause::Done) if service => {}
             Some(Cause::Done) => {
-                let started = host.bookings.get(&task).and_then(|b| b.started);
                 self.learn(task, started.map(|s| now.since(s).as_secs_f64()));
                 host.failures = 0;
                 host.failed_jobs.clear();
             }
             Some(Cause::Stopped) => {}
+            // One that had long been running says nothing of its machine.
+            Some(Cause::Error) if service && ran >= SETTLED => {}
             Some(Cause::Error) => self.task_failed(host, task, now),
             _ => {
                 log::info!("{}: {task} attempt {attempt} refused: {cause:?}", host.name);
@@ -228,6 +249,14 @@
         self.place_wanted = true;
     }
 
+    fn image_arrived(&self, host: &mut Host, task: TaskId) {
+        let spec = self.jobs.get(&task.job).and_then(|j| j.spec.as_ref());
+        let kind = host.kind.and_then(|k| self.types.get(k));
+        if let (Some(spec), Some(kind)) = (spec, kind) {
+            host.has_image(&spec.image, spec.image_gb.0, kind.cache_gb.0);
+        }
+    }
+
     /// Owners' guesses are often wrong, and some days all in the same direction.
     fn learn(&mut self, task: TaskId, ran: Option<f64>) {
         let spec = self.jobs.get(&task.job).and_then(|j| j.spec.as_ref());
@@ -242,6 +271,9 @@
 
     /// How long a task of the job is likely to run.
     pub(super) fn expected_run(&self, job: &Job) -> f64 {
+        if job.is_service() {
+            return SERVICE_RUN_S;
+        }
         let expected = match &job.spec {
             Some(spec) => self.expected_run_of(spec),
             None => job.estimate(),
@@ -253,6 +285,9 @@
 
     /// How long a task of such a job is likely to run, by its owner's guess and the class's runs.
     pub(super) fn expected_run_of(&self, spec: &JobSpec) -> f64 {
+        if spec.is_service() {
+            return SERVICE_RUN_S;
+        }
         let (ran, guessed) = self.runs.get(&spec.class).copied().unwrap_or_default();
         let estimate = spec.estimate_s.0.max(1.0);
         // A few guesses taken at their word keep the first runs from deciding alone.
@@ -262,6 +297,9 @@
 
     /// How much longer a running task will take. One past its time shows that the guess was bad.
     pub(super) fn expected_rest(&self, job: &Job, started: Option<Time>, now: Time) -> f64 {
+        if job.is_service() {
+            return f64::MAX;
+        }
         let run = self.expected_run(job);
         let ran = started.map_or(0.0, |s| now.since(s).as_secs_f64());
         (run - ran).max(ran * 0.25).max(1.0)
@@ -423,6 +461,10 @@
             let Some(job) = self.jobs.get(&task.job) else {
                 continue;
             };
+            if job.is_service() {
+                // Its moment is chosen by what room there is elsewhere.
+                continue;
+            }
             let rest = self.expected_rest(job, booking.started, now);
             if rest > left.as_secs_f64() && booking.stop.is_none() {
                 booking.stop = Some(StopWhy::Drained);
--- /dev/null
+++ b/src/coordination/scaling.rs
@@ -0,0 +1,128 @@
+//! Scaling down: which machines are closed because the work does not need them, and when they go back.
+
+use std::cmp::Ordering;
+use std::time::Duration;
+
+use super::hosts::{Cordon, Life};
+use super::placement::capacity;
+use super::Controller;
+use crate::types::{seconds, HostName, Time};
+
+/// The cloud charges at least a minute; a machine that goes back earlier saves nothing.
+const MIN_PAID: Duration = Duration::from_secs(55);
+
+impl Controller {
+    /// Scale down by cordoning. Headroom spreads work thinly over all machines, so that none ever
+    /// idles; what the recent peak of demand does not need is therefore closed, the dearest first,
+    /// runs empty, and goes back. When demand rises it is opened again before any is rented.
+    pub(super) fn cordon_surplus(&mut self, scarce: &[bool], now: Time) {
+        let window = seconds(self.rules.tuning.idle_return_s);
+        for group in [false, true] {
+            let demand = self.demand(scarce, group);
+            let peak = self.fleet.peaks[usize::from(group)].note(now, demand, window);
+            let wanted = peak * (1.0 + self.rules.tuning.spare_share);
+            let mut ordinary = self.ordinary_wanted(scarce, group, now);
+            let mut order: Vec<(f64, f64, HostName, f64)> = self
+                .hosts
+                .values()
+                .filter(|h| h.life == Life::Up)
+                .filter(|h| matches!(h.cordon, None | Some(Cordon::Surplus)))
+                .filter_map(|h| {
+                    let kind = h.kind.filter(|k| scarce.get(*k) == Some(&group))?;
+                    let t = self.types.get(kind)?;
+                    let price = if h.spot { t.spot_price.0 } else { t.price.0 };
+                    let cpus = t.cpus.0.max(0.1);
+                    // What is closed already stays so, other things being equal.
+                    let closed = if h.cordon.is_some() { 1.0 } else { 0.0 };
+                    // Replicas don't end, so what holds some would never run empty.
+                    let holds = if self.holds_replicas(h) { -2.0 } else { 0.0 };
+                    Some((
+                        price / cpus,
+                        closed + holds - h.used.cpus / cpus,
+                        h.name.clone(),
+                        cpus,
+                    ))
+                })
+                .collect();
+            order.sort_by(|a, b| {
+                (a.0, a.1)
+                    .partial_cmp(&(b.0, b.1))
+                    .unwrap_or(Ordering::Equal)
+            });
+            let mut kept = 0.0;
+            for (_, _, name, cpus) in order {
+                let Some(host) = self.hosts.get_mut(&name) else {
+                    continue;
+                };
+                // Work that may not use spot machines keeps the dear ones that it needs.
+                let needed = !host.spot && ordinary > 0.0;
+                if needed {
+                    ordinary -= cpus;
+                }
+                if kept < wanted || needed {
+                    kept += cpus;
+                    if host.uncordon() {
+                        self.place_wanted = true;
+                    }
+                } else if now >= host.open_until {
+                    host.cordon(Cordon::Surplus);
+                    if host.cordon == Some(Cordon::Surplus) {
+                        host.surplus_since.get_or_insert(now);
+                    }
+                }
+            }
+        }
+    }
+
+    /// CPUs that booked and waiting work takes, on the scarce types or on the others.
+    fn demand(&self, scarce: &[bool], group: bool) -> f64 {
+        let mut demand = 0.0;
+        for host in self.hosts.values() {
+            let Some(kind) = host.kind.filter(|k| scarce.get(*k) == Some(&group)) else {
+                continue;
+            };
+            let Some(t) = self.types.get(kind) else {
+                continue;
+            };
+            let whole = capacity(t);
+            let share = (host.used.cpus / whole.cpus).max(host.used.memory_gb / whole.memory_gb);
+            demand += if share.is_finite() {
+                share * whole.cpus
+            } else {
+                0.0
+            };
+        }
+        for job in self.jobs.values() {
+            let (Some(spec), true) = (&job.spec, job.waiting() > 0) else {
+                continue;
+            };
+            let needs_scarce = self
+                .suited(spec)
+                .iter()
+                .all(|k| scarce.get(*k) == Some(&true));
+            if needs_scarce == group {
+                let count = u64::from(job.placeable()).min(self.team_room(job));
+                demand += count as f64 * job.need.cpus;
+            }
+        }
+        demand
+    }
+
+    /// Machines that are closed for good reasons and empty go back.
+    pub(super) fn return_empty(&mut self, now: Time) {
+        let mut returned = Vec::new();
+        for host in self.hosts.values_mut() {
+            let empty = host.life == Life::Up && host.bookings.is_empty();
+            // What has been paid for anyway may stay.
+            let paid = now.since(host.rented_at) < MIN_PAID;
+            let closed = host.cordon.is_some_and(|c| c != Cordon::Notice);
+            if empty && closed && !paid {
+                host.enter(Life::Releasing);
+                returned.push(host.name.clone());
+            }
+        }
+        for name in returned {
+            self.fleet.release(name);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/services.rs
@@ -0,0 +1,204 @@
+//! Standing services: their replicas have no end, so room for them is kept ready, and they are moved in
+//! time when their machine goes.
+
+use std::time::Duration;
+
+use super::hosts::{Cordon, Ear, Host, Life, StopWhy};
+use super::jobs::{Job, JobPhase};
+use super::placement::{self, capacity};
+use super::Controller;
+use crate::protocol::users::JobSpec;
+use crate::types::{seconds, HostName, TaskId, Time};
+
+/// A replica whose machine goes is moved at the latest so long before, room or not.
+const LAST_MOMENT: Duration = Duration::from_secs(2);
+/// A machine that nothing but replicas keeps from going back is emptied after so long.
+const IDLE_FOR: Duration = Duration::from_secs(120);
+/// A machine that was opened for a replica stays open for so long.
+const REOPENED_FOR: Duration = Duration::from_secs(3);
+/// One replica is moved at a time, for the price of a machine alone.
+const MOVE_EVERY: Duration = Duration::from_secs(15);
+
+impl Controller {
+    fn is_service(&self, task: TaskId) -> bool {
+        self.jobs.get(&task.job).is_some_and(|j| j.is_service())
+    }
+
+    pub(super) fn holds_replicas(&self, host: &Host) -> bool {
+        host.bookings.keys().any(|task| self.is_service(*task))
+    }
+
+    /// CPUs on ordinary machines that work needs which may use no others: what is booked and waits, the
+    /// peak of the last while, and what is likely to come before another could boot.
+    pub(super) fn ordinary_wanted(&mut self, scarce: &[bool], group: bool, now: Time) -> f64 {
+        let mut demand = 0.0;
+        for job in self.jobs.values() {
+            let Some(spec) = job.spec.as_ref().filter(|s| !s.spot) else {
+                continue;
+            };
+            if job.phase == JobPhase::Active && self.in_group(spec, scarce, group) {
+                let tasks = f64::from(job.booked) + f64::from(job.placeable());
+                demand += tasks * job.need.cpus;
+            }
+        }
+        for (_, spec) in self.fleet.coming(now) {
+            if !spec.spot && self.in_group(&spec, scarce, group) {
+                let ready = self.least_ready(&spec, &self.usable_kinds(&spec, scarce));
+                let share = (ready / super::fleet::ARRIVALS_FOR.as_secs_f64()).min(1.0);
+                demand += spec.tasks as f64 * spec.cpus.0 * share;
+            }
+        }
+        let window = seconds(self.rules.tuning.idle_return_s) * 2;
+        let peak = self.fleet.ordinary_peaks[usize::from(group)].note(now, demand, window);
+        // Headroom spreads replicas thinly, so some of it is split up among machines.
+        let standby = if group { 0.0 } else { self.standby(now) };
+        (peak * 1.25).max(standby)
+    }
+
+    fn in_group(&self, spec: &JobSpec, scarce: &[bool], group: bool) -> bool {
+        let mut kinds = self.suited(spec).into_iter();
+        kinds.all(|k| scarce.get(k) == Some(&true)) == group
+    }
+
+    /// CPUs that are kept ready for classes that are to begin sooner than any machine boots, as long as
+    /// none of their jobs has been seen: nobody knows yet what they will need.
+    pub(super) fn standby(&self, now: Time) -> f64 {
+        let boots = self.types.iter().map(|t| t.boot_s.0);
+        let soonest = boots.fold(f64::INFINITY, f64::min);
+        let unseen = |class: &str| !self.classes.contains(class);
+        let hurried = |(class, within): &(String, f64)| *within < soonest && unseen(class);
+        let wanted = self.rules.hurried.iter().any(hurried);
+        // The first jobs of the day are about to tell which classes there are.
+        let settled = now.since(self.started_at) > STANDBY_AFTER;
+        if wanted && settled {
+            self.rules.tuning.standby_cpus
+        } else {
+            0.0
+        }
+    }
+
+    /// How many more machines are wanted as a standby, and of which kind: the cheapest ordinary one.
+    pub(super) fn standby_wanted(&self, now: Time) -> Option<(usize, String, u64)> {
+        let wanted = self.standby(now);
+        if wanted <= 0.0 {
+            return None;
+        }
+        let cpus = |kind: usize| self.types.get(kind).map_or(0.0, |t| t.cpus.0);
+        let here = self.hosts.values().filter(|h| {
+            !h.spot && matches!(h.life, Life::Up | Life::Expected) && h.cordon != Some(Cordon::Lost)
+        });
+        let have: f64 = here.filter_map(|h| h.kind).map(cpus).sum();
+        let rentals = self.fleet.rentals.values().filter(|r| !r.market.2);
+        let ordered: f64 = rentals
+            .map(|r| cpus(r.market.0) * r.rental.count as f64)
+            .sum();
+        let missing = wanted - have - ordered;
+        let per_cpu = |kind: &usize| self.types[*kind].price.0 / cpus(*kind).max(0.1);
+        let kind = (0..self.types.len()).min_by(|a, b| per_cpu(a).total_cmp(&per_cpu(b)))?;
+        let open = |zone: &&String| !self.is_closed(&(kind, (*zone).clone(), false), now);
+        let zone = self.types[kind].zones.iter().find(open)?;
+        let count = (missing / cpus(kind).max(0.1)).ceil() as u64;
+        (missing > 0.0).then(|| (kind, zone.clone(), count))
+    }
+
+    /// Opens a machine that was closed as not needed and could take a replica that found no other: those
+    /// left open may remember an earlier attempt at it, and it is not to wait for that.
+    pub(super) fn reopen_for(
+        &mut self,
+        job: &Job,
+        spec: &JobSpec,
+        usable: &[bool],
+        now: Time,
+    ) -> bool {
+        let Some(index) = job.first_waiting() else {
+            return false;
+        };
+        let task = TaskId { job: job.id, index };
+        let suits = |host: &&Host| {
+            let kind = host.kind.filter(|k| usable.get(*k) == Some(&true));
+            let whole = kind.and_then(|k| self.types.get(k)).map(capacity);
+            host.cordon == Some(Cordon::Surplus)
+                && host.life == Life::Up
+                && now.since(host.heard_at) <= self.rules.report * 2
+                && host.ear == Ear::Open
+                && (spec.spot || !host.spot)
+                && spec.zone.as_ref().is_none_or(|z| *z == host.zone)
+                && whole.is_some_and(|w| job.need.fits(&w.minus(&host.used)))
+                && !self.knows_of(&host.name, task)
+        };
+        let found = self.hosts.values().find(suits).map(|h| h.name.clone());
+        let host = found.and_then(|name| self.hosts.get_mut(&name));
+        host.is_some_and(|host| {
+            host.open_until = now.after(REOPENED_FOR);
+            host.uncordon()
+        })
+    }
+
+    /// Moves replicas whose machine is about to go as soon as there is room for them elsewhere, so that
+    /// the gap is no longer than a start; and those that alone keep a machine which nobody else needs.
+    pub(super) fn move_replicas(&mut self, now: Time) {
+        let mut moves: Vec<(HostName, TaskId)> = Vec::new();
+        for host in self.hosts.values() {
+            let leaving = host.gone_by.filter(|_| host.life == Life::Up);
+            if let Some(by) = leaving {
+                let last = by.since(now) <= LAST_MOMENT;
+                let there = host.bookings.iter().filter(|(_, b)| b.stop.is_none());
+                for (task, _) in there {
+                    if self.is_service(*task) && (last || self.has_room(*task, host, now)) {
+                        moves.push((host.name.clone(), *task));
+                    }
+                }
+            }
+        }
+        if moves.is_empty() && now >= self.move_at {
+            moves.extend(self.idle_replica(now));
+            if !moves.is_empty() {
+                self.move_at = now.after(MOVE_EVERY);
+            }
+        }
+        for (host, task) in moves {
+            log::info!("{host}: {task} is moved");
+            self.stop(&host, task, StopWhy::Drained, now);
+        }
+    }
+
+    /// A replica on a machine that has long been closed as not needed, and holds nothing but replicas.
+    fn idle_replica(&self, now: Time) -> Option<(HostName, TaskId)> {
+        let host = self.hosts.values().find(|host| {
+            let idle = host.cordon == Some(Cordon::Surplus) && host.life == Life::Up;
+            let idle = idle
+                && host
+                    .surplus_since
+                    .is_some_and(|at| now.since(at) > IDLE_FOR);
+            let mut bookings = host.bookings.iter();
+            let only = bookings.all(|(task, b)| b.stop.is_none() && self.is_service(*task));
+            let all_fit = host
+                .bookings
+                .keys()
+                .all(|task| self.has_room(*task, host, now));
+            idle && only && !host.bookings.is_empty() && all_fit
+        })?;
+        let task = *host.bookings.keys().next()?;
+        Some((host.name.clone(), task))
+    }
+
+    /// Whether another open machine could take the task at once.
+    fn has_room(&self, task: TaskId, but: &Host, now: Time) -> bool {
+        let Some(spec) = self.jobs.get(&task.job).and_then(|j| j.spec.as_ref()) else {
+            return false;
+        };
+        let need = placement::need(spec);
+        self.hosts.values().any(|host| {
+            let kind = host.kind.and_then(|k| self.types.get(k));
+            host.name != but.name
+                && self.is_open(host, now)
+                && (spec.spot || !host.spot)
+                && kind.is_some_and(|t| {
+                    placement::type_suits(spec, t) && need.fits(&capacity(t).minus(&host.used))
+                })
+        })
+    }
+}
+
+/// What a new leader has read by then it has seen.
+const STANDBY_AFTER: Duration = Duration::from_secs(2);
--- a/src/node/front/mod.rs
+++ b/src/node/front/mod.rs
@@ -266,8 +266,14 @@
             return Some(Err("unknown team"));
         };
         let (cpus, gpus) = team.limits();
-        if spec.cpus.0 > cpus || spec.gpus.0 > gpus {
-            return Some(Err("a task needs more than the team's limit"));
+        // The replicas of a service all run at once.
+        let at_once = if spec.is_service() {
+            spec.tasks as f64
+        } else {
+            1.0
+        };
+        if spec.cpus.0 * at_once > cpus || spec.gpus.0 * at_once > gpus {
+            return Some(Err("it needs more than the team's limit"));
         }
         if types.is_empty() {
             return None;
--- a/src/node/office.rs
+++ b/src/node/office.rs
@@ -310,6 +310,10 @@
                 ledger.lost();
                 return Ok(());
             }
+            Outcome::Invalid => {
+                ledger.invalid();
+                return Ok(());
+            }
             _ => {
                 ledger.refused();
                 return Ok(());
@@ -368,7 +372,8 @@
         let affordable = writes.available(now).max(0.0) as usize;
         let most = affordable.min(self.txn_ops);
         let (urgent, others) = ledger.backlog();
-        if most < (urgent + others).clamp(LEAST_BATCH, WORTH_BATCH) {
+        let worth = WORTH_BATCH.min(self.txn_ops);
+        if most < (urgent + others).clamp(LEAST_BATCH, worth) {
             return;
         }
         if let Some(txn) = self.controller.next_batch(most, spare) {
@@ -543,6 +548,12 @@
         let types = MachineTypes {
             types: self.controller.types.clone(),
         };
+        if records::size(&types) > self.controller.ledger.max_value {
+            // Nodes ask the cloud then.
+            log::info!("the machine types are too large to be kept");
+            self.types_written = true;
+            return;
+        }
         let mut txn = Txn::default();
         txn.require(records::HOLDER.to_owned(), self.controller.ledger.holder());
         txn.changes
--- a/src/protocol/cloud.rs
+++ b/src/protocol/cloud.rs
@@ -15,6 +15,9 @@
     pub gpus: Amount,
     #[serde(rename = "ramGb")]
     pub memory_gb: Amount,
+    /// Images that it keeps.
+    #[serde(rename = "cacheGb", default)]
+    pub cache_gb: Amount,
     #[serde(rename = "pullGbPerS")]
     pub fetch_gb_per_s: Amount,
     #[serde(rename = "rate")]
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -26,6 +26,9 @@
 pub enum Shape {
     #[serde(rename = "sweep")]
     Array,
+    /// Its tasks are replicas that run until the job is cancelled.
+    #[serde(rename = "service")]
+    Service,
 }
 
 /// A job as its user describes it.
@@ -71,6 +74,12 @@
     pub deadline_s: Option<Amount>,
 }
 
+impl JobSpec {
+    pub fn is_service(&self) -> bool {
+        self.shape == Shape::Service
+    }
+}
+
 /// Just the id, to recognise a repeat whatever else its body says.
 #[derive(Deserialize)]
 struct IdOnly {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -45,6 +45,28 @@
     pub state: State,
     pub cloud: Cloud,
     pub resources: Resources,
+    /// What is expected of classes of jobs.
+    #[serde(default, deserialize_with = "null_is_empty")]
+    pub objectives: Vec<Objective>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+impl Service {
+    /// Classes that are to begin within so many seconds.
+    pub fn hurried(&self) -> Vec<(String, f64)> {
+        let waits = self.objectives.iter().filter(|o| o.kind == "wait");
+        waits
+            .filter_map(|o| Some((o.class.clone()?, o.within_s?)))
+            .collect()
+    }
 }
 
 /// A team's guarantee and limit. A limit of 0 means none; a guarantee of 0 guarantees nothing.
@@ -99,6 +121,34 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// The limits from some moment on, of which nobody tells.
+    #[serde(default)]
+    pub next: Option<NextState>,
+}
+
+/// Each field that is missing stays as it is.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct NextState {
+    pub rps: Option<f64>,
+    pub write_rps: Option<f64>,
+    pub value_kb: Option<f64>,
+    pub txn_ops: Option<usize>,
+}
+
+impl State {
+    /// What holds now and later: the smaller of both limits, so that no moment matters.
+    fn within_next(&mut self) {
+        let next = self.next.clone().unwrap_or_default();
+        self.rps = next.rps.map_or(self.rps, |n| n.min(self.rps));
+        self.write_rps = next
+            .write_rps
+            .map_or(self.write_rps, |n| n.min(self.write_rps));
+        self.value_kb = next
+            .value_kb
+            .map_or(self.value_kb, |n| n.min(self.value_kb));
+        self.txn_ops = next.txn_ops.map_or(self.txn_ops, |n| n.min(self.txn_ops));
+    }
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -114,6 +164,9 @@
     pub sockets: usize,
 }
 
+/// What the largest step that can't be divided takes.
+const LEAST_OPS: usize = 4;
+
 fn null_is_empty<'de, D, T>(d: D) -> Result<Vec<T>, D::Error>
 where
     D: serde::Deserializer<'de>,
@@ -131,10 +184,11 @@
     pub fn parse(text: &str) -> Result<Settings, String> {
         let mut json = serde_json::Deserializer::from_str(text);
         // The path says which field is meant, also where a value is just of the wrong kind.
-        let settings: Settings =
+        let mut settings: Settings =
             serde_path_to_error::deserialize(&mut json).map_err(|e| e.to_string())?;
         json.end().map_err(|e| e.to_string())?;
         settings.check()?;
+        settings.settings.state.within_next();
         Ok(settings)
     }
 
@@ -149,6 +203,14 @@
             ("settings.state.value_kb", s.state.value_kb),
             ("settings.cloud.rps", s.cloud.rps),
         ];
+        let next = s.state.next.clone().unwrap_or_default();
+        let next_limits = [
+            ("settings.state.next.rps", next.rps),
+            ("settings.state.next.write_rps", next.write_rps),
+            ("settings.state.next.value_kb", next.value_kb),
+        ];
+        let next_limits = next_limits.iter().filter_map(|(f, v)| v.map(|v| (*f, v)));
+        let positive = positive.into_iter().chain(next_limits);
         let lag = s.cloud.list_lag_s;
         if !(lag.is_finite() && lag >= 0.0) {
             return Err(format!(
@@ -163,8 +225,13 @@
         if s.workers.lease_s <= s.workers.report_s {
             return Err("settings.workers.lease_s: must be above report_s".into());
         }
-        if s.state.txn_ops < 4 {
-            return Err("settings.state.txn_ops: at least 4 are needed to finish a job".into());
+        let next_ops = next.txn_ops.unwrap_or(s.state.txn_ops);
+        for (field, ops) in [("txn_ops", s.state.txn_ops), ("next.txn_ops", next_ops)] {
+            if ops < LEAST_OPS {
+                return Err(format!(
+                    "settings.state.{field}: at least {LEAST_OPS} are needed to finish a job"
+                ));
+            }
         }
         if s.resources.sockets < 32 {
             return Err("settings.resources.sockets: at least 32 are needed".into());
@@ -225,6 +292,9 @@
     pub boot_patience: f64,
     /// A job of which nothing has begun for this long goes before all others.
     pub starve_after_s: f64,
+    /// CPUs on ordinary machines that are kept ready for classes of which no job has come yet, if they
+    /// are to begin sooner than a machine boots.
+    pub standby_cpus: f64,
 }
 
 impl Default for Tuning {
@@ -237,6 +307,7 @@
             silent_reports: 3.5,
             boot_patience: 2.5,
             starve_after_s: 100.0,
+            standby_cpus: 16.0,
         }
     }
 }
@@ -259,6 +330,7 @@
             ("silent_reports", tuning.silent_reports, 2.0, 100.0),
             ("boot_patience", tuning.boot_patience, 1.5, 100.0),
             ("starve_after_s", tuning.starve_after_s, 1.0, 86_400.0),
+            ("standby_cpus", tuning.standby_cpus, 0.0, 100_000.0),
         ];
         for (field, value, least, most) in ranges {
             if !(least..=most).contains(&value) {
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -143,6 +143,16 @@
     play("odd_requests", 1..5);
 }
 
+#[test]
+fn rollout() {
+    play("rollout", 1..3);
+}
+
+#[test]
+fn services() {
+    play("services", 1..4);
+}
+
 // ---- the checker sees what is wrong
 
 /// A checker that knows job 1 (two tasks of 2 CPUs) and machines m1 and m2 in zone a, m3 in b.
@@ -158,6 +168,7 @@
         one_zone: false,
         spread: false,
         spot: true,
+        service: false,
         odd: false,
     };
     change(&mut job);
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -35,6 +35,7 @@
         cpus: Amount(4.0),
         gpus: Amount(0.0),
         memory_gb: Amount(16.0),
+        cache_gb: Amount(50.0),
         fetch_gb_per_s: Amount(1.0),
         price: Amount(0.3),
         spot_price: Amount(0.1),
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -24,6 +24,7 @@
         cpus: Amount(cpus),
         gpus: Amount(0.0),
         memory_gb: Amount(memory),
+        cache_gb: Amount(50.0),
         fetch_gb_per_s: Amount(1.0),
         price: Amount(cpus),
         spot_price: Amount(cpus / 3.0),
@@ -55,6 +56,9 @@
         probes: 4,
         commands: 1000,
         records: 10_000,
+        max_value: 16 * 1024,
+        txn_ops: 16,
+        hurried: Vec::new(),
         teams: vec![Team {
             name: "open".into(),
             cpus: None,
--- a/tests/simulated/worker.rs
+++ b/tests/simulated/worker.rs
@@ -305,6 +305,26 @@
         }
     }
 
+    /// Some replicas of services, which run without end, end all the same.
+    pub fn end_replicas(
+        &mut self,
+        why: &'static str,
+        share: f64,
+        random: &mut fastrand::Rng,
+    ) -> usize {
+        let mut ended = 0;
+        for piece in &mut self.pieces {
+            let endless = matches!(piece.state, State::Running { until } if until > u64::MAX / 8);
+            if endless && random.f64() < share {
+                piece.state = State::Ended { why };
+                self.deeds.push(Deed::Over(piece.task.clone(), false));
+                self.changed = true;
+                ended += 1;
+            }
+        }
+        ended
+    }
+
     /// The machine is no more.
     pub fn end(&mut self) {
         for piece in std::mem::take(&mut self.pieces) {
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -26,6 +26,7 @@
         cpus: Amount(64.0),
         gpus: Amount(0.0),
         memory_gb: Amount(512.0),
+        cache_gb: Amount(50.0),
         fetch_gb_per_s: Amount(1.0),
         price: Amount(1.0),
         spot_price: Amount(0.3),
@@ -44,6 +45,9 @@
         probes: 10,
         commands: 100,
         records: 100,
+        max_value: 16 * 1024,
+        txn_ops: 16,
+        hurried: Vec::new(),
         teams: vec![Team {
             name: "open".into(),
             cpus: None,
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -175,6 +175,11 @@
         submission(set("dueS", Value::Null)),
         Submission::Good(_)
     ));
+    let service = submission(|fields| {
+        set("shape", Value::from("service"))(fields);
+        set("guessS", Value::from(0.0))(fields);
+    });
+    assert!(matches!(service, Submission::Good(spec) if spec.is_service()));
     // Malformed, but they name a job that may be known: that has to be looked up first.
     let bad = [
         ("pieces", Value::from(0)),
@@ -186,6 +191,7 @@
         ("ramGb", Value::from(f64::INFINITY)),
         ("urgency", Value::from("soon")),
         ("shape", Value::from("circle")),
+        ("shape", Value::from("group")),
         ("samePlace", Value::from(1)),
         ("hosttypes", Value::from("g8")),
         ("crew", Value::from("x".repeat(5000))),
