Room for services: ordinary machines kept, a standby, images first, preemption in the forecast

Replicas waited for an image of 1 GB (2.5 s on small-mixers) and for ordinary machines of 40 s boot time; they go where the image is there the soonest, machines are chosen by how soon they come, and big-mixers are not kept from them.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -45,7 +45,7 @@
     /// The recent demand on the common and on the scarce types.
     pub(super) peaks: [Peak; 2],
     /// The same of work that may use ordinary machines only.
-    pub(super) ordinary_peaks: [Peak; 2],
+    pub(super) ordinary_peak: Peak,
     /// The jobs of the last while.
     arrivals: VecDeque<Arrival>,
 }
@@ -97,7 +97,7 @@
             look_at: Time::default(),
             scarce: BTreeSet::new(),
             peaks: Default::default(),
-            ordinary_peaks: Default::default(),
+            ordinary_peak: Peak::default(),
             arrivals: VecDeque::new(),
         }
     }
@@ -156,9 +156,7 @@
         self.cordon_surplus(&scarce, now);
         self.return_empty(now);
         self.rent(&scarce, now);
-        if let Some((kind, zone, count)) = self.standby_wanted(now) {
-            self.order((kind, zone, false), count, now);
-        }
+        self.rent_standby(now);
     }
 
     fn send_releases(&mut self, now: Time) {
--- a/src/coordination/forecast.rs
+++ b/src/coordination/forecast.rs
@@ -23,6 +23,8 @@
 const LATE_FACTOR: f64 = 2.0;
 /// How long work that may use spot machines waits for one before an ordinary one is rented.
 const ORDINARY_AFTER_S: f64 = 180.0;
+/// For a service a machine that takes this much longer to come is worth half as much.
+const HASTE_S: f64 = 60.0;
 /// Tasks that one forecast looks at.
 const MAX_FORECAST: u32 = 8000;
 /// Machines that one forecast may ask of a market; they go out in requests of [`MAX_RENTAL`].
@@ -60,6 +62,8 @@
     spot: bool,
     /// When it is up.
     at: f64,
+    /// What services leave of it: they preempt all else.
+    for_services: Resources,
     free: Resources,
     /// What gets free later, in the order of time.
     ends: Vec<(f64, Resources)>,
@@ -204,6 +208,23 @@
                 spare = Starts::of(&lanes, spec, &only);
                 spare_ready = self.least_ready(spec, &only);
             }
+            // A service makes room for itself where lower priorities run.
+            let suits = |lane: &Lane| {
+                spec.is_service()
+                    && lane.at <= from + MARGIN_S
+                    && usable[lane.kind]
+                    && (spec.spot || !lane.spot)
+                    && spec.zone.as_ref().is_none_or(|z| *z == lane.zone)
+                    && need.fits(&lane.for_services)
+            };
+            let mut waiting = waiting;
+            while waiting > 0 {
+                let Some(lane) = lanes.iter_mut().find(|l| suits(l)) else {
+                    break;
+                };
+                lane.for_services.remove(&need);
+                waiting -= 1;
+            }
             let in_time = |start: f64| due.is_none_or(|due| start + run <= due);
             for left in (1..=waiting).rev() {
                 looked_at += 1;
@@ -342,7 +363,14 @@
             ends.sort_by(|a, b| a.0.total_cmp(&b.0));
             let (zone, spot) = (host.zone.clone(), host.spot);
             let free = capacity(t).minus(&host.used);
+            let mut for_services = capacity(t);
+            for (task, booking) in &host.bookings {
+                if self.is_service(*task) {
+                    for_services.remove(&booking.need);
+                }
+            }
             lanes.push(Lane {
+                for_services,
                 kind,
                 zone,
                 spot,
@@ -367,6 +395,7 @@
             zone,
             spot,
             at,
+            for_services: capacity(t),
             free: capacity(t),
             ends: Vec::new(),
         }
@@ -413,7 +442,18 @@
                         continue;
                     }
                     let price = if spot { t.spot_price.0 } else { t.price.0 };
-                    let cost = price * span.max(60.0) / fits.min(outlook.left) as f64;
+                    // What a service leaves of a machine others use; that it is there soon counts more.
+                    let sharing = if spec.is_service() {
+                        fits
+                    } else {
+                        fits.min(outlook.left)
+                    };
+                    let cost = price * span.max(60.0) / sharing as f64;
+                    let cost = if spec.is_service() {
+                        cost * self.haste(self.ready_after(spec, kind))
+                    } else {
+                        cost
+                    };
                     let cost = if in_time { cost } else { cost * LATE_FACTOR };
                     if best.as_ref().is_none_or(|(c, _)| cost < *c) {
                         best = Some((cost, market));
@@ -424,6 +464,11 @@
         best.map(|(_, market)| market)
     }
 
+    /// How much dearer a machine may be that is there sooner.
+    pub(super) fn haste(&self, ready: f64) -> f64 {
+        1.0 + ready / HASTE_S
+    }
+
     /// How long a machine rented now takes until a task of the job can start on it.
     fn ready_after(&self, spec: &JobSpec, kind: usize) -> f64 {
         let t = &self.types[kind];
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -610,8 +610,11 @@
                     // What has reported may be used meanwhile: the records hold what is booked on
                     // the others, and none of these takes anything before it has reported.
                     let early = now.since(self.started_at) >= self.rules.report / EARLY_PART;
-                    if may_act && early && std::mem::take(&mut self.place_wanted) {
-                        self.place(now);
+                    if may_act && early {
+                        if std::mem::take(&mut self.place_wanted) {
+                            self.place(now);
+                        }
+                        self.rent_standby(now);
                     }
                     return;
                 }
@@ -622,9 +625,11 @@
         if now >= self.watch_at {
             self.watch_at = now.after(WATCH_EVERY);
             self.watch_hosts(now, may_act);
+            if may_act {
+                self.move_replicas(now);
+            }
         }
         if may_act {
-            self.move_replicas(now);
             // Jobs that were told to wait after a failure come back without any event.
             if std::mem::take(&mut self.place_wanted) || now >= self.place_at {
                 self.place_at = now.after(PLACE_EVERY);
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -88,11 +88,11 @@
         self.whole.minus(&self.used)
     }
 
-    fn ranked(&self, at: usize, alone: bool, ready: bool, needs_gpu: bool) -> Ranked {
+    fn ranked(&self, at: usize, alone: bool, fetch: u32, needs_gpu: bool) -> Ranked {
         let score = score(&self.whole, &self.used, needs_gpu);
         Ranked {
             alone,
-            ready,
+            fetch,
             score,
             at,
         }
@@ -109,11 +109,12 @@
 }
 
 /// A machine's place among those that may take a task: without a sibling task first, then, for a
-/// service, with its image, then by score, then by name.
+/// service, where its image is there the soonest, then by score, then by name.
 #[derive(PartialEq)]
 struct Ranked {
     alone: bool,
-    ready: bool,
+    /// How long a service's image takes, in steps.
+    fetch: u32,
     score: f64,
     at: usize,
 }
@@ -132,7 +133,7 @@
         // Machines stand in the order of their names, so a tie goes to the first.
         let by_name = other.at.cmp(&self.at);
         let by_place = self.alone.cmp(&other.alone);
-        let by_image = self.ready.cmp(&other.ready);
+        let by_image = other.fetch.cmp(&self.fetch);
         by_place.then(by_image).then(by_score).then(by_name)
     }
 }
@@ -376,8 +377,8 @@
             let open = &mut pass.open[best];
             open.used.add(&job.need);
             if job.need.fits(&open.free()) {
-                let ready = self.image_is_ready(spec, &open.name);
-                ranked.push(open.ranked(best, false, ready, job.need.gpus > 0.0));
+                let fetch = self.fetch_steps(spec, &open.name);
+                ranked.push(open.ranked(best, false, fetch, job.need.gpus > 0.0));
             }
             *siblings.entry(open.zone.clone()).or_default() += 1;
             let name = open.name.clone();
@@ -406,18 +407,23 @@
                 && !(open.failed && self.failed_lately(&open.name, job.id, pass.now));
             if eligible {
                 let alone = !holding.contains(&open.name);
-                let ready = self.image_is_ready(spec, &open.name);
-                ranked.push(open.ranked(at, alone, ready, needs_gpu));
+                let fetch = self.fetch_steps(spec, &open.name);
+                ranked.push(open.ranked(at, alone, fetch, needs_gpu));
             }
         }
         ranked.into()
     }
 
-    /// The exception to the order by score: a service is to run within moments, and an image takes
-    /// longer than that.
-    fn image_is_ready(&self, spec: &JobSpec, name: &HostName) -> bool {
+    /// The exception to the order by score: a service is to run within moments, and an image may take
+    /// longer than that. Steps of half a second.
+    fn fetch_steps(&self, spec: &JobSpec, name: &HostName) -> u32 {
         let host = self.hosts.get(name).filter(|_| spec.is_service());
-        host.is_some_and(|h| h.holds_image(&spec.image))
+        let Some(host) = host.filter(|h| !h.holds_image(&spec.image)) else {
+            return 0;
+        };
+        let kind = host.kind.and_then(|k| self.types.get(k));
+        let rate = kind.map_or(0.01, |t| t.fetch_gb_per_s.0.max(0.01));
+        1 + (spec.image_gb.0 / rate * 2.0) as u32
     }
 
     fn failed_lately(&self, name: &HostName, job: JobId, now: Time) -> bool {
@@ -567,6 +573,10 @@
         let Some(kind) = kind.filter(|k| scarce.get(*k) == Some(&true)) else {
             return false;
         };
+        // A service takes little and can't wait.
+        if spec.is_service() {
+            return false;
+        }
         self.suited(spec)
             .iter()
             .any(|k| *k != kind && scarce.get(*k) == Some(&false))
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -15,7 +15,7 @@
 /// So it is with work of the lowest priority, which is there to use what idles.
 const IDLE_LOSS_S: f64 = 20.0;
 /// For a service, which is missed at every moment and takes little, more may be lost.
-const SERVICE_LOSS_S: f64 = 60.0;
+const SERVICE_LOSS_S: f64 = 120.0;
 /// A task that ends so soon is not worth stopping.
 const SOON_S: f64 = 5.0;
 /// A job that has waited too long has begun once so many of its tasks have run for so long.
--- a/src/coordination/scaling.rs
+++ b/src/coordination/scaling.rs
@@ -17,11 +17,11 @@
     /// runs empty, and goes back. When demand rises it is opened again before any is rented.
     pub(super) fn cordon_surplus(&mut self, scarce: &[bool], now: Time) {
         let window = seconds(self.rules.tuning.idle_return_s);
+        let ordinary = self.ordinary_kept(now);
         for group in [false, true] {
             let demand = self.demand(scarce, group);
             let peak = self.fleet.peaks[usize::from(group)].note(now, demand, window);
             let wanted = peak * (1.0 + self.rules.tuning.spare_share);
-            let mut ordinary = self.ordinary_wanted(scarce, group, now);
             let mut order: Vec<(f64, f64, HostName, f64)> = self
                 .hosts
                 .values()
@@ -34,11 +34,9 @@
                     let cpus = t.cpus.0.max(0.1);
                     // What is closed already stays so, other things being equal.
                     let closed = if h.cordon.is_some() { 1.0 } else { 0.0 };
-                    // Replicas don't end, so what holds some would never run empty.
-                    let holds = if self.holds_replicas(h) { -2.0 } else { 0.0 };
                     Some((
                         price / cpus,
-                        closed + holds - h.used.cpus / cpus,
+                        closed - h.used.cpus / cpus,
                         h.name.clone(),
                         cpus,
                     ))
@@ -54,12 +52,7 @@
                 let Some(host) = self.hosts.get_mut(&name) else {
                     continue;
                 };
-                // Work that may not use spot machines keeps the dear ones that it needs.
-                let needed = !host.spot && ordinary > 0.0;
-                if needed {
-                    ordinary -= cpus;
-                }
-                if kept < wanted || needed {
+                if kept < wanted || ordinary.contains(&name) {
                     kept += cpus;
                     if host.uncordon() {
                         self.place_wanted = true;
--- a/src/coordination/services.rs
+++ b/src/coordination/services.rs
@@ -1,6 +1,7 @@
 //! Standing services: their replicas have no end, so room for them is kept ready, and they are moved in
 //! time when their machine goes.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::hosts::{Cordon, Ear, Host, Life, StopWhy};
@@ -16,11 +17,13 @@
 const IDLE_FOR: Duration = Duration::from_secs(120);
 /// A machine that was opened for a replica stays open for so long.
 const REOPENED_FOR: Duration = Duration::from_secs(3);
+/// So much of the ordinary machines is kept for what needs them.
+const ORDINARY_SPARE: f64 = 1.25;
 /// One replica is moved at a time, for the price of a machine alone.
 const MOVE_EVERY: Duration = Duration::from_secs(15);
 
 impl Controller {
-    fn is_service(&self, task: TaskId) -> bool {
+    pub(super) fn is_service(&self, task: TaskId) -> bool {
         self.jobs.get(&task.job).is_some_and(|j| j.is_service())
     }
 
@@ -28,41 +31,65 @@
         host.bookings.keys().any(|task| self.is_service(*task))
     }
 
-    /// CPUs on ordinary machines that work needs which may use no others: what is booked and waits, the
-    /// peak of the last while, and what is likely to come before another could boot.
-    pub(super) fn ordinary_wanted(&mut self, scarce: &[bool], group: bool, now: Time) -> f64 {
+    /// CPUs on ordinary machines that work needs which may use no others: the peak of the last while of
+    /// what is booked and waits, and what is likely to come before another could boot.
+    fn ordinary_wanted(&mut self, now: Time) -> f64 {
         let mut demand = 0.0;
         for job in self.jobs.values() {
-            let Some(spec) = job.spec.as_ref().filter(|s| !s.spot) else {
-                continue;
-            };
-            if job.phase == JobPhase::Active && self.in_group(spec, scarce, group) {
+            let ordinary = job.spec.as_ref().is_some_and(|s| !s.spot);
+            if ordinary && job.phase == JobPhase::Active {
                 let tasks = f64::from(job.booked) + f64::from(job.placeable());
                 demand += tasks * job.need.cpus;
             }
         }
         for (_, spec) in self.fleet.coming(now) {
-            if !spec.spot && self.in_group(&spec, scarce, group) {
-                let ready = self.least_ready(&spec, &self.usable_kinds(&spec, scarce));
+            if !spec.spot {
+                let ready = self.least_ready(&spec, &self.usable_kinds(&spec, &[]));
                 let share = (ready / super::fleet::ARRIVALS_FOR.as_secs_f64()).min(1.0);
                 demand += spec.tasks as f64 * spec.cpus.0 * share;
             }
         }
         let window = seconds(self.rules.tuning.idle_return_s) * 2;
-        let peak = self.fleet.ordinary_peaks[usize::from(group)].note(now, demand, window);
+        let peak = self.fleet.ordinary_peak.note(now, demand, window);
         // Headroom spreads replicas thinly, so some of it is split up among machines.
-        let standby = if group { 0.0 } else { self.standby(now) };
-        (peak * 1.25).max(standby)
+        (peak * ORDINARY_SPARE).max(self.standby(now))
     }
 
-    fn in_group(&self, spec: &JobSpec, scarce: &[bool], group: bool) -> bool {
-        let mut kinds = self.suited(spec).into_iter();
-        kinds.all(|k| scarce.get(k) == Some(&true)) == group
+    /// The ordinary machines that are kept for that: first those that hold replicas, which have no end,
+    /// then those that are open, then the cheapest.
+    pub(super) fn ordinary_kept(&mut self, now: Time) -> BTreeSet<HostName> {
+        let mut wanted = self.ordinary_wanted(now);
+        let mut order = Vec::new();
+        for host in self
+            .hosts
+            .values()
+            .filter(|h| !h.spot && h.life == Life::Up)
+        {
+            if let Some(t) = host.kind.and_then(|k| self.types.get(k)) {
+                let cpus = t.cpus.0.max(0.1);
+                let price = t.price.0 / cpus * self.haste(t.boot_s.0);
+                let idle = !self.holds_replicas(host);
+                order.push((idle, host.cordon.is_some(), price, cpus, &host.name));
+            }
+        }
+        order.sort_by(|a, b| {
+            let first = (a.0, a.1).cmp(&(b.0, b.1));
+            first.then(a.2.total_cmp(&b.2)).then(a.4.cmp(b.4))
+        });
+        let mut kept = BTreeSet::new();
+        for (_, _, _, cpus, name) in order {
+            if wanted <= 0.0 {
+                break;
+            }
+            wanted -= cpus;
+            kept.insert(name.clone());
+        }
+        kept
     }
 
     /// CPUs that are kept ready for classes that are to begin sooner than any machine boots, as long as
     /// none of their jobs has been seen: nobody knows yet what they will need.
-    pub(super) fn standby(&self, now: Time) -> f64 {
+    fn standby(&self, now: Time) -> f64 {
         let boots = self.types.iter().map(|t| t.boot_s.0);
         let soonest = boots.fold(f64::INFINITY, f64::min);
         let unseen = |class: &str| !self.classes.contains(class);
@@ -77,23 +104,34 @@
         }
     }
 
+    pub(super) fn rent_standby(&mut self, now: Time) {
+        if let Some((kind, zone, count)) = self.standby_wanted(now) {
+            log::info!("{count} machines are rented as a standby");
+            self.order((kind, zone, false), count, now);
+        }
+    }
+
     /// How many more machines are wanted as a standby, and of which kind: the cheapest ordinary one.
-    pub(super) fn standby_wanted(&self, now: Time) -> Option<(usize, String, u64)> {
+    fn standby_wanted(&self, now: Time) -> Option<(usize, String, u64)> {
         let wanted = self.standby(now);
         if wanted <= 0.0 {
             return None;
         }
         let cpus = |kind: usize| self.types.get(kind).map_or(0.0, |t| t.cpus.0);
-        let here = self.hosts.values().filter(|h| {
-            !h.spot && matches!(h.life, Life::Up | Life::Expected) && h.cordon != Some(Cordon::Lost)
-        });
+        let here = self
+            .hosts
+            .values()
+            .filter(|h| !h.spot && h.life != Life::Releasing && h.cordon != Some(Cordon::Lost));
         let have: f64 = here.filter_map(|h| h.kind).map(cpus).sum();
         let rentals = self.fleet.rentals.values().filter(|r| !r.market.2);
         let ordered: f64 = rentals
             .map(|r| cpus(r.market.0) * r.rental.count as f64)
             .sum();
         let missing = wanted - have - ordered;
-        let per_cpu = |kind: &usize| self.types[*kind].price.0 / cpus(*kind).max(0.1);
+        let per_cpu = |kind: &usize| {
+            let t = &self.types[*kind];
+            t.price.0 / cpus(*kind).max(0.1) * self.haste(t.boot_s.0)
+        };
         let kind = (0..self.types.len()).min_by(|a, b| per_cpu(a).total_cmp(&per_cpu(b)))?;
         let open = |zone: &&String| !self.is_closed(&(kind, (*zone).clone(), false), now);
         let zone = self.types[kind].zones.iter().find(open)?;
@@ -137,6 +175,9 @@
     /// Moves replicas whose machine is about to go as soon as there is room for them elsewhere, so that
     /// the gap is no longer than a start; and those that alone keep a machine which nobody else needs.
     pub(super) fn move_replicas(&mut self, now: Time) {
+        if !self.jobs.values().any(Job::is_service) {
+            return;
+        }
         let mut moves: Vec<(HostName, TaskId)> = Vec::new();
         for host in self.hosts.values() {
             let leaving = host.gone_by.filter(|_| host.life == Life::Up);
@@ -164,19 +205,13 @@
 
     /// A replica on a machine that has long been closed as not needed, and holds nothing but replicas.
     fn idle_replica(&self, now: Time) -> Option<(HostName, TaskId)> {
+        let long = |at: Time| now.since(at) > IDLE_FOR;
         let host = self.hosts.values().find(|host| {
             let idle = host.cordon == Some(Cordon::Surplus) && host.life == Life::Up;
-            let idle = idle
-                && host
-                    .surplus_since
-                    .is_some_and(|at| now.since(at) > IDLE_FOR);
-            let mut bookings = host.bookings.iter();
-            let only = bookings.all(|(task, b)| b.stop.is_none() && self.is_service(*task));
-            let all_fit = host
-                .bookings
-                .keys()
-                .all(|task| self.has_room(*task, host, now));
-            idle && only && !host.bookings.is_empty() && all_fit
+            let idle = idle && host.surplus_since.is_some_and(long) && !host.bookings.is_empty();
+            idle && host.bookings.iter().all(|(task, b)| {
+                b.stop.is_none() && self.is_service(*task) && self.has_room(*task, host, now)
+            })
         })?;
         let task = *host.bookings.keys().next()?;
         Some((host.name.clone(), task))
