--- a/src/coordination/forecast.rs
+++ b/src/coordination/forecast.rs
@@ -173,7 +173,9 @@
         }
         works.extend(coming.iter().filter_map(|c| {
             let count = came.get(c.1.class.as_str()).copied().unwrap_or(0.0);
-            let sure = 1.0 - CHANCE / count.max(1.0).sqrt();
+            // A service can't wait to see whether it was chance.
+            let chance = if c.1.is_service() { 0.0 } else { CHANCE };
+            let sure = 1.0 - chance / count.max(1.0).sqrt();
             self.work_to_come(c, sure, scarce)
         }));
         if works.is_empty() {
--- a/src/coordination/services.rs
+++ b/src/coordination/services.rs
@@ -52,7 +52,7 @@
         let window = seconds(self.rules.tuning.idle_return_s) * 2;
         let peak = self.fleet.ordinary_peak.note(now, demand, window);
         // Headroom spreads replicas thinly, so some of it is split up among machines.
-        (peak * ORDINARY_SPARE).max(self.standby(now))
+        peak * ORDINARY_SPARE + self.standby(now)
     }
 
     /// The ordinary machines that are kept for that: first those that hold replicas, which have no end,
@@ -87,56 +87,66 @@
         kept
     }
 
-    /// CPUs that are kept ready for classes that are to begin sooner than any machine boots, as long as
-    /// none of their jobs has been seen: nobody knows yet what they will need.
+    /// CPUs on ordinary machines that services should find free, or taken by what they preempt, at any
+    /// time: they are to begin sooner than any machine boots. So it is for classes of which that is
+    /// expected and no job has been seen yet, as nobody knows what they will need.
     fn standby(&self, now: Time) -> f64 {
         let boots = self.types.iter().map(|t| t.boot_s.0);
         let soonest = boots.fold(f64::INFINITY, f64::min);
         let unseen = |class: &str| !self.classes.contains(class);
         let hurried = |(class, within): &(String, f64)| *within < soonest && unseen(class);
-        let wanted = self.rules.hurried.iter().any(hurried);
         // The first jobs of the day are about to tell which classes there are.
         let settled = now.since(self.started_at) > STANDBY_AFTER;
-        if wanted && settled {
+        let unknown = settled && self.rules.hurried.iter().any(hurried);
+        if unknown || self.jobs.values().any(Job::is_service) {
             self.rules.tuning.standby_cpus
         } else {
             0.0
         }
     }
 
-    pub(super) fn rent_standby(&mut self, now: Time) {
-        if let Some((kind, zone, count)) = self.standby_wanted(now) {
-            log::info!("{count} machines are rented as a standby");
-            self.order((kind, zone, false), count, now);
-        }
+    /// CPUs on ordinary machines, here or to come, that no replica takes.
+    fn room_for_services(&self) -> f64 {
+        let cpus = |kind: usize| self.types.get(kind).map_or(0.0, |t| t.cpus.0);
+        let here = self.hosts.values().filter(|h| {
+            !h.spot && h.life != Life::Releasing && matches!(h.cordon, None | Some(Cordon::Surplus))
+        });
+        let room = here.map(|h| {
+            let replicas = h.bookings.iter().filter(|(t, _)| self.is_service(**t));
+            let taken: f64 = replicas.map(|(_, b)| b.need.cpus).sum();
+            (h.kind.map_or(0.0, cpus) - taken).max(0.0)
+        });
+        let rentals = self.fleet.rentals.values().filter(|r| !r.market.2);
+        let ordered = rentals.map(|r| cpus(r.market.0) * r.rental.count as f64);
+        let services = self.jobs.values().filter(|j| j.is_service());
+        let waiting = services.map(|j| f64::from(j.waiting()) * j.need.cpus);
+        room.chain(ordered).sum::<f64>() - waiting.sum::<f64>()
     }
 
-    /// How many more machines are wanted as a standby, and of which kind: the cheapest ordinary one.
-    fn standby_wanted(&self, now: Time) -> Option<(usize, String, u64)> {
+    /// Rents what the standby lacks: ordinary machines that are cheap and come soon.
+    pub(super) fn rent_standby(&mut self, now: Time) {
         let wanted = self.standby(now);
         if wanted <= 0.0 {
-            return None;
+            return;
         }
-        let cpus = |kind: usize| self.types.get(kind).map_or(0.0, |t| t.cpus.0);
-        let here = self
-            .hosts
-            .values()
-            .filter(|h| !h.spot && h.life != Life::Releasing && h.cordon != Some(Cordon::Lost));
-        let have: f64 = here.filter_map(|h| h.kind).map(cpus).sum();
-        let rentals = self.fleet.rentals.values().filter(|r| !r.market.2);
-        let ordered: f64 = rentals
-            .map(|r| cpus(r.market.0) * r.rental.count as f64)
-            .sum();
-        let missing = wanted - have - ordered;
-        let per_cpu = |kind: &usize| {
+        let missing = wanted - self.room_for_services();
+        let cpus = |kind: usize| self.types[kind].cpus.0.max(0.1);
+        let cost = |kind: &usize| {
             let t = &self.types[*kind];
-            t.price.0 / cpus(*kind).max(0.1) * self.haste(t.boot_s.0)
+            t.price.0 / cpus(*kind) * self.haste(t.boot_s.0)
+        };
+        let markets = (0..self.types.len()).filter_map(|kind| {
+            let open = |zone: &&String| !self.is_closed(&(kind, (*zone).clone(), false), now);
+            let zone = self.types[kind].zones.iter().find(open)?;
+            Some((kind, zone.clone()))
+        });
+        let best = markets.min_by(|a, b| cost(&a.0).total_cmp(&cost(&b.0)));
+        let Some((kind, zone)) = best.filter(|_| missing > 0.0) else {
+            return;
         };
-        let kind = (0..self.types.len()).min_by(|a, b| per_cpu(a).total_cmp(&per_cpu(b)))?;
-        let open = |zone: &&String| !self.is_closed(&(kind, (*zone).clone(), false), now);
-        let zone = self.types[kind].zones.iter().find(open)?;
-        let count = (missing / cpus(kind).max(0.1)).ceil() as u64;
-        (missing > 0.0).then(|| (kind, zone.clone(), count))
+        let count = (missing / cpus(kind)).ceil() as u64;
+        log::info!("{count} machines are rented as a standby");
+        self.order((kind, zone, false), count, now);
     }
 
     /// Opens a machine that was closed as not needed and could take a replica that found no other: those
