--- /dev/null
+++ b/tests/division.rs
@@ -0,0 +1,299 @@
+//! Run records that the version in production left larger than the limits of later allow are divided in
+//! steps. After each step a take-over, by either version, finds every booking and attempt.
+
+#[path = "standin/state.rs"]
+mod state;
+#[path = "standin/values.rs"]
+mod values;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ciborium::Value;
+use lichencrank::bookkeeping::ledger::Verdict;
+use lichencrank::bookkeeping::records::{self, ChunkRecord, JobRecord};
+use lichencrank::coordination::{Controller, Rulebook};
+use lichencrank::protocol::cloud::MachineType;
+use lichencrank::protocol::state::value;
+use lichencrank::protocol::users::{JobSpec, Priority, Shape};
+use lichencrank::protocol::workers::{Cause, Report, TaskReport, TaskState};
+use lichencrank::protocol::Amount;
+use lichencrank::settings::{Team, Tuning};
+use lichencrank::types::{Attempt, HostName, JobId, Session, Stamp, TaskId, Term, Tick, Time};
+use state::{Limits, State};
+use values::{get, map, number, text};
+
+const JOB: JobId = JobId(1);
+const TASKS: u32 = 600;
+const OLD_CHUNK: u32 = 256;
+const NOW: Time = Time(10_000);
+
+/// Where each task was booked, and under which attempt; or the last attempt that was tried.
+type Picture = BTreeMap<u32, (u64, Option<String>)>;
+
+fn host_of(index: u32) -> HostName {
+    HostName::new(&format!("vm-{:06}", index % 97))
+}
+
+fn spec() -> JobSpec {
+    JobSpec {
+        id: JOB,
+        class: "work".into(),
+        team: "open".into(),
+        shape: Shape::Array,
+        priority: Priority::Normal,
+        tasks: u64::from(TASKS),
+        cpus: Amount(1.0),
+        gpus: Amount(0.0),
+        memory_gb: Amount(1.0),
+        image: "img".into(),
+        image_gb: Amount(1.0),
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: Amount(30.0),
+        checkpoint_s: Amount(0.0),
+        save_s: Amount(0.0),
+        deadline_s: None,
+    }
+}
+
+fn put(key: &str, data: Value) -> Value {
+    map(vec![("set", key.into()), ("data", data)])
+}
+
+/// What production left: two records of 256 tasks, most of them booked, some tried; the rest untouched.
+fn left_behind() -> State {
+    let mut state = State::new(Limits {
+        value_bytes: 16 * 1024,
+        txn_ops: 16,
+    });
+    let description = JobRecord {
+        spec: spec(),
+        at_ms: 1000,
+        chunk: OLD_CHUNK,
+    };
+    let mut changes = vec![
+        put("lead/holder", map(vec![])),
+        put(&records::live_key(JOB), value(&description)),
+    ];
+    for number in 0..2 {
+        let first = number * OLD_CHUNK;
+        let mut record = ChunkRecord {
+            first,
+            size: OLD_CHUNK,
+            team: "open".into(),
+            cpus: 1.0,
+            mem: 1.0,
+            ..ChunkRecord::default()
+        };
+        for offset in 0..240 {
+            let attempt = Attempt(1 + u64::from(offset % 3));
+            if offset % 8 == 7 {
+                record.tried.push((offset, attempt));
+            } else {
+                let host = host_of(first + offset);
+                record.booked.push((offset, attempt, host, Session(1)));
+            }
+        }
+        changes.push(put(&records::run_key(JOB, number), value(&record)));
+    }
+    let (status, _) = state.txn(&map(vec![("apply", Value::Array(changes))]));
+    assert_eq!(status, 200);
+    state.limits = Limits {
+        value_bytes: 2048,
+        txn_ops: 5,
+    };
+    state
+}
+
+fn rules() -> Rulebook {
+    Rulebook {
+        report: Duration::from_secs(3),
+        lease: Duration::from_secs(16),
+        cancel: Duration::from_secs(40),
+        list_lag: Duration::from_secs(10),
+        chunk_size: records::chunk_size(2.0),
+        probes: 10,
+        commands: 100,
+        max_value: 2048,
+        txn_ops: 5,
+        hurried: Vec::new(),
+        records: 100,
+        teams: vec![Team {
+            name: "open".into(),
+            cpus: None,
+            cpus_max: None,
+            gpus: None,
+            gpus_max: None,
+        }],
+        tuning: Tuning::default(),
+    }
+}
+
+fn items(state: &mut State, prefix: &str) -> Vec<(String, Value, u64)> {
+    let target = format!("/kv?prefix={prefix}&page=1000");
+    let (_, page) = state.handle(0, "GET", &target, &Value::Null);
+    let pairs = values::list(&page, "pairs").iter();
+    let of = |item: &Value| {
+        let data = get(item, "data").cloned().unwrap_or(Value::Null);
+        (text(item, "path"), data, number(item, "stamp"))
+    };
+    pairs.map(of).collect()
+}
+
+/// A new leader of this version reads the records.
+fn take_over(state: &mut State) -> Controller {
+    let types = vec![MachineType {
+        name: "c4".into(),
+        cpus: Amount(4.0),
+        gpus: Amount(0.0),
+        memory_gb: Amount(16.0),
+        cache_gb: Amount(50.0),
+        fetch_gb_per_s: Amount(1.0),
+        price: Amount(0.3),
+        spot_price: Amount(0.1),
+        boot_s: Amount(30.0),
+        zones: vec!["a".into()],
+    }];
+    let holder = items(state, "lead/holder")[0].2;
+    let mut controller = Controller::new(Term(5), Stamp(holder), rules(), types, NOW);
+    controller.valid_until = Time(u64::MAX);
+    for (_, data, stamp) in items(state, "live/") {
+        let record: JobRecord = data.deserialized().expect("a description");
+        controller.on_job(record, Stamp(stamp));
+    }
+    for (key, data, stamp) in items(state, "run/") {
+        let (job, number) = records::parse_run(&key).expect("a run record");
+        let record: ChunkRecord = data.deserialized().expect("a run record");
+        controller.on_run_record(job, number, &record, Stamp(stamp), NOW);
+    }
+    controller.on_loaded(NOW);
+    controller
+}
+
+fn picture_of(controller: &Controller) -> Picture {
+    let job = &controller.jobs[&JOB];
+    let mut picture = Picture::new();
+    for index in 0..TASKS {
+        let attempt = job.last_attempt(index).0;
+        let holds = |h: &&lichencrank::coordination::hosts::Host| {
+            h.bookings.contains_key(&TaskId { job: JOB, index })
+        };
+        let host = controller.hosts.values().find(holds);
+        if attempt > 0 {
+            picture.insert(index, (attempt, host.map(|h| h.name.to_string())));
+        }
+    }
+    picture
+}
+
+/// What production would read: the description's size says which records are in force.
+fn picture_of_production(state: &mut State) -> Picture {
+    let description: JobRecord = items(state, "live/")[0].1.deserialized().expect("one");
+    let mut picture = Picture::new();
+    for (key, data, _) in items(state, "run/") {
+        let (_, number) = records::parse_run(&key).expect("a run record");
+        if number >= TASKS.div_ceil(description.chunk) {
+            continue;
+        }
+        let record: ChunkRecord = data.deserialized().expect("a run record");
+        let first = number * description.chunk;
+        for (offset, attempt) in record.tried {
+            picture.insert(first + offset, (attempt.0, None));
+        }
+        for (offset, attempt, host, _) in record.booked {
+            picture.insert(first + offset, (attempt.0, Some(host.to_string())));
+        }
+    }
+    picture
+}
+
+/// One task ends, so that its record has to be written.
+fn end_one(controller: &mut Controller) {
+    let task = TaskId { job: JOB, index: 0 };
+    let report = Report {
+        host: host_of(0),
+        address: "10.1.0.1:9000".into(),
+        kind: "c4".into(),
+        zone: "a".into(),
+        spot: true,
+        session: Session(1),
+        tick: Tick(100),
+        token: Term(5),
+        notice_s: None,
+        tasks: controller.hosts[&host_of(0)]
+            .bookings
+            .iter()
+            .map(|(t, b)| TaskReport {
+                task: *t,
+                attempt: b.attempt,
+                state: if *t == task {
+                    TaskState::Ended
+                } else {
+                    TaskState::Running
+                },
+                cause: (*t == task).then_some(Cause::Error),
+            })
+            .collect(),
+    };
+    controller.on_report(&report, NOW).expect("it leads");
+}
+
+/// Writes the next batch, if there is one; nothing may ever be refused.
+fn step(controller: &mut Controller, state: &mut State) -> bool {
+    // A record that turns out too large is divided from the next batch on.
+    let batch = controller.next_batch(5, true);
+    let batch = batch.or_else(|| controller.next_batch(5, true));
+    let Some(txn) = batch else {
+        return false;
+    };
+    let (status, answer) = state.txn(&value(&txn));
+    assert_eq!(status, 200, "{answer:?}");
+    let revision = Stamp(number(&answer, "ledgerRev"));
+    let Controller { ledger, jobs, .. } = controller;
+    let verdict = ledger.applied(jobs, revision, NOW);
+    assert!(matches!(verdict, Verdict::Written(_)));
+    controller.on_verdict(verdict, NOW).expect("it leads");
+    true
+}
+
+#[test]
+fn every_step_keeps_every_booking() {
+    let before = picture_of_production(&mut left_behind());
+    // The one that ended keeps its attempt; whether its end is written does not matter.
+    let same = |picture: &Picture| {
+        let but_first =
+            |p: &Picture| -> Picture { p.clone().into_iter().filter(|(i, _)| *i != 0).collect() };
+        assert_eq!(but_first(picture), but_first(&before));
+        assert_eq!(picture[&0].0, before[&0].0);
+    };
+    // Broken off after so many steps, and done anew by the next leader.
+    for steps in 0..8 {
+        let mut state = left_behind();
+        let mut controller = take_over(&mut state);
+        same(&picture_of(&controller));
+        end_one(&mut controller);
+        for _ in 0..steps {
+            step(&mut controller, &mut state);
+            same(&picture_of_production(&mut state));
+            same(&picture_of(&take_over(&mut state)));
+        }
+        let mut next = take_over(&mut state);
+        end_one(&mut next);
+        let mut taken = 0;
+        while step(&mut next, &mut state) {
+            taken += 1;
+            assert!(taken < 30, "no end of steps");
+            same(&picture_of_production(&mut state));
+        }
+        same(&picture_of(&next));
+        let description: JobRecord = items(&mut state, "live/")[0].1.deserialized().expect("one");
+        assert!(description.chunk < OLD_CHUNK, "after {steps} steps");
+        for (key, data, _) in items(&mut state, "run/") {
+            assert!(records::size(&data) <= 2048, "{key}");
+        }
+    }
+}
