--- a/tests/standin/state.rs
+++ b/tests/standin/state.rs
@@ -1,6 +1,8 @@
 //! The state service as a pure function of requests and the time, in milliseconds: for stand-ins on
 //! loopback and for simulated time.
 
+#![allow(dead_code)] // Each test that includes this uses its part.
+
 use ciborium::Value;
 use std::collections::BTreeMap;
 
@@ -174,13 +176,11 @@
     }
 
     /// What a key holds, for tests that look on.
-    #[allow(dead_code)] // Not all of them do.
     pub fn peek(&self, key: &str) -> Option<&Value> {
         self.keys.get(key).map(|(data, ..)| data)
     }
 
     /// How many keys there are below a prefix.
-    #[allow(dead_code)] // Not all of them look.
     pub fn count(&self, prefix: &str) -> usize {
         let below = self.keys.keys().filter(|k| k.starts_with(prefix));
         below.count()
--- a/tests/standin/values.rs
+++ b/tests/standin/values.rs
@@ -1,5 +1,7 @@
 //! Reading and making CBOR values by field.
 
+#![allow(dead_code)] // Each test that includes this uses its part.
+
 use ciborium::Value;
 
 pub type Fields = Vec<(&'static str, Value)>;
