--- a/src/node/gossip.rs
+++ b/src/node/gossip.rs
@@ -23,7 +23,7 @@
         }
     }
 
-    /// A peer's greeting may be a late copy: of it only the term counts, which never goes back. That
+    /// A peer's gossip may be a late copy: of it only the term counts, which never goes back. That
     /// a peer is there shows in its answers to our own.
     pub(super) fn on_hello(&mut self, body: &[u8]) -> Response {
         match peers::decode(body) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -64,7 +64,7 @@
 const CALM: Duration = Duration::from_secs(15);
 const WORKERS_FOR: Duration = Duration::from_secs(6);
 const MAX_WORKERS: usize = 10_000;
-/// Cancellations in one greeting.
+/// Cancellations in one message of gossip.
 const MAX_TOLD: usize = 300;
 const SUMMARY_EVERY: Duration = Duration::from_secs(10);
 /// What the nodes together leave of the budgets, for requests that are counted late.
@@ -433,7 +433,7 @@
         if let Some(peer) = self.peers.iter_mut().find(|p| p.call == Some(call)) {
             peer.call = None;
             if let Some(hello) = result.ok().and_then(|r| peers::decode::<Hello>(&r.body)) {
-                // It tells how things were at some time after our greeting left.
+                // It tells how things were at some time after our gossip left.
                 peer.heard = Some((peer.greeted, hello.clone()));
                 self.term_from_peer(&hello);
             }
