--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -167,6 +167,8 @@
     pub failures: u32,
     pub failed_on: BTreeSet<HostName>,
     pub withdrawn_at: Option<Time>,
+    /// Replicas of a service that don't run: since when, and why.
+    pub gaps: BTreeMap<u32, (Time, &'static str)>,
     /// Its run records are being divided into smaller ones.
     pub division: Option<Division>,
     /// Run records of a division that never came into force, and their versions.
@@ -203,6 +205,7 @@
             failures: 0,
             failed_on: BTreeSet::new(),
             withdrawn_at: None,
+            gaps: BTreeMap::new(),
             division: None,
             beyond: BTreeMap::new(),
             to_move: None,
@@ -236,6 +239,7 @@
             failures: 0,
             failed_on: BTreeSet::new(),
             withdrawn_at: Some(now),
+            gaps: BTreeMap::new(),
             division: None,
             beyond: BTreeMap::new(),
             to_move: None,
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -180,7 +180,7 @@
                 let waited = booking.started.is_none();
                 booking.seen(reported, now);
                 if waited && booking.started.is_some() {
-                    self.image_arrived(host, task);
+                    self.image_arrived(host, task, now);
                 }
                 if told {
                     host.heeded();
@@ -249,7 +249,12 @@
         self.place_wanted = true;
     }
 
-    fn image_arrived(&self, host: &mut Host, task: TaskId) {
+    fn image_arrived(&mut self, host: &mut Host, task: TaskId, now: Time) {
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            if let Some((since, why)) = job.gaps.remove(&task.index) {
+                log::info!("{task} runs again after {:?}: {why}", now.since(since));
+            }
+        }
         let spec = self.jobs.get(&task.job).and_then(|j| j.spec.as_ref());
         let kind = host.kind.and_then(|k| self.types.get(k));
         if let (Some(spec), Some(kind)) = (spec, kind) {
@@ -323,6 +328,16 @@
         if let Some(used) = self.used.get_mut(&job.team) {
             used.remove(&booking.need);
         }
+        if job.is_service() && booking.started.is_some() {
+            let why = match (booking.stop, host.cordon) {
+                (Some(StopWhy::Preempted), _) => "preempted",
+                (_, Some(Cordon::Notice)) => "its machine was taken",
+                (Some(_), _) => "moved",
+                (None, Some(Cordon::Lost | Cordon::Sick)) => "its machine was given up",
+                (None, _) => "ended or lost",
+            };
+            job.gaps.entry(task.index).or_insert((now, why));
+        }
         let state = if done {
             TaskState::Done
         } else {
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -454,3 +454,41 @@
     assert!(!desk.answers.contains_key(&polled));
     assert!(matches!(&desk.asked[0].0, Ask::Get(key) if key == "live/job-000002"));
 }
+
+/// All replicas of a service run at once, so they have to fit into the team's limit together; an array
+/// needs room for one task.
+#[test]
+fn a_service_needs_room_for_all_its_replicas() {
+    let limited = |shape: &str| {
+        let mut desk = Desk::new();
+        let team = Team {
+            name: "open".into(),
+            cpus: None,
+            cpus_max: Some(3.0),
+            gpus: None,
+            gpus_max: None,
+        };
+        desk.front = Front::new(vec![team], 32.0, 24);
+        let mut body: Value = decode(&description(1)).expect("a map");
+        for (name, value) in body.as_map_mut().expect("a map") {
+            if name.as_text() == Some("shape") {
+                *value = shape.into();
+            }
+        }
+        let client = desk.client();
+        let body = encode(&body);
+        desk.front.submit(client, &body, &types(), 1000, desk.now);
+        desk.pump();
+        // Whether it is known already is looked up first.
+        if matches!(desk.asked[0].0, Ask::Get(_)) {
+            desk.reply(Outcome::Item(None));
+            desk.reply(Outcome::Item(None));
+        } else {
+            desk.reply(Outcome::Applied(Stamp(7)));
+        }
+        desk.answers[&client.conn.serial].0
+    };
+    assert_eq!(limited("sweep"), 201);
+    assert_eq!(limited("service"), 422);
+    assert_eq!(limited("group"), 400);
+}
