--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -306,7 +306,13 @@
                 if job.phase == JobPhase::Withdrawn && chunk.stamp == Stamp(0) {
                     continue;
                 }
-                let size = records::size(&record);
+                let size = if record.surely_fits(self.max_value) {
+                    200 + record.booked.len() * 48
+                        + record.tried.len() * 14
+                        + record.done.len() * 12
+                } else {
+                    records::size(&record)
+                };
                 if size > self.max_value {
                     self.too_large.insert(id);
                     later.push((id, number, false));
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -121,6 +121,14 @@
     pub fn done_count(&self) -> u64 {
         self.done.iter().map(|(_, n)| u64::from(*n)).sum()
     }
+
+    /// Whether the record surely is no larger than that; where this does not say so, it is measured.
+    pub fn surely_fits(&self, most: usize) -> bool {
+        // Numbers of up to 20 digits where there may be such, commas and brackets.
+        let booked: usize = self.booked.iter().map(|b| b.2.as_str().len() + 60).sum();
+        let at_most = 400 + self.team.len() * 2 + self.done.len() * 24 + self.tried.len() * 36;
+        at_most + booked <= most
+    }
 }
 
 /// The size of a record in the form whose size is limited.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -111,6 +111,12 @@
         }
     }
 
+    /// The jobs that came in the last while.
+    pub(super) fn lately(&self, now: Time) -> impl Iterator<Item = &JobSpec> {
+        let recent = move |a: &&Arrival| now.since(a.at) <= ARRIVALS_FOR;
+        self.arrivals.iter().filter(recent).map(|a| &*a.spec)
+    }
+
     /// What came in the last while, and how long ago.
     pub(super) fn coming(&mut self, now: Time) -> Vec<(f64, Box<JobSpec>)> {
         self.arrivals.retain(|a| now.since(a.at) <= ARRIVALS_FOR);
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -257,6 +257,8 @@
         }
         let spec = self.jobs.get(&task.job).and_then(|j| j.spec.as_ref());
         let kind = host.kind.and_then(|k| self.types.get(k));
+        // Only services ask where their image is.
+        let spec = spec.filter(|s| s.is_service());
         if let (Some(spec), Some(kind)) = (spec, kind) {
             host.has_image(&spec.image, spec.image_gb.0, kind.cache_gb.0);
         }
--- a/src/coordination/services.rs
+++ b/src/coordination/services.rs
@@ -42,12 +42,10 @@
                 demand += tasks * job.need.cpus;
             }
         }
-        for (_, spec) in self.fleet.coming(now) {
-            if !spec.spot {
-                let ready = self.least_ready(&spec, &self.usable_kinds(&spec, &[]));
-                let share = (ready / super::fleet::ARRIVALS_FOR.as_secs_f64()).min(1.0);
-                demand += spec.tasks as f64 * spec.cpus.0 * share;
-            }
+        for spec in self.fleet.lately(now).filter(|s| !s.spot) {
+            let ready = self.least_ready(spec, &self.usable_kinds(spec, &[]));
+            let share = (ready / super::fleet::ARRIVALS_FOR.as_secs_f64()).min(1.0);
+            demand += spec.tasks as f64 * spec.cpus.0 * share;
         }
         let window = seconds(self.rules.tuning.idle_return_s) * 2;
         let peak = self.fleet.ordinary_peak.note(now, demand, window);
