--- a/src/protocol/state.rs
+++ b/crates/store/src/messages.rs
@@ -1,10 +1,10 @@
-//! The state service's messages.
+//! Messages of the store's published protocol. Wire names live in the serde attributes.
 
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
 
-use super::null_is_empty;
-use crate::types::{LeaseId, Stamp};
+use crate::codec::null_is_empty;
+use crate::ids::{LeaseId, Version};
 
 /// A condition of a transaction.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -13,7 +13,8 @@
     #[serde(rename = "path")]
     pub key: String,
     /// Version that the key must have; 0 if it must not exist.
-    pub stamp: Stamp,
+    #[serde(rename = "stamp")]
+    pub version: Version,
 }
 
 /// A change of a transaction.
@@ -54,6 +55,13 @@
     pub fn delete(key: String) -> Change {
         Change::Delete { key }
     }
+
+    /// The key that is changed.
+    pub fn key(&self) -> &String {
+        match self {
+            Change::Put { key, .. } | Change::Delete { key } => key,
+        }
+    }
 }
 
 /// A transaction: its changes are carried out if all conditions hold.
@@ -69,9 +77,9 @@
 
 impl Txn {
     /// Adds a condition, unless there is one about that key.
-    pub fn require(&mut self, key: String, stamp: Stamp) {
+    pub fn require(&mut self, key: String, version: Version) {
         if !self.conditions.iter().any(|c| c.key == key) {
-            self.conditions.push(Condition { key, stamp });
+            self.conditions.push(Condition { key, version });
         }
     }
 }
@@ -86,7 +94,8 @@
     #[serde(rename = "data")]
     pub value: Value,
     /// The revision of its last change.
-    pub stamp: Stamp,
+    #[serde(rename = "stamp")]
+    pub version: Version,
 }
 
 impl Item {
@@ -95,17 +104,17 @@
         match self.value.deserialized() {
             Ok(record) => Some(record),
             Err(e) => {
-                log::error!("{}: not a record of ours: {e}", self.key);
+                tracing::error!("{}: not a record of ours: {e}", self.key);
                 None
             }
         }
     }
 }
 
-/// A record in the form that the state service keeps.
+/// A record in the form that the store keeps.
 pub fn value<T: Serialize>(record: &T) -> Value {
     Value::serialized(record).unwrap_or_else(|e| {
-        log::error!("a record has no form in CBOR: {e}");
+        tracing::error!("a record has no form in CBOR: {e}");
         Value::Null
     })
 }
@@ -121,7 +130,7 @@
     pub more: bool,
     /// Revision that the page shows.
     #[serde(rename = "ledgerRev")]
-    pub revision: Stamp,
+    pub revision: Version,
 }
 
 /// A transaction was carried out.
@@ -129,7 +138,7 @@
 pub struct Applied {
     /// Revision of its changes.
     #[serde(rename = "ledgerRev")]
-    pub revision: Stamp,
+    pub revision: Version,
 }
 
 /// A transaction's conditions do not hold.
@@ -161,7 +170,7 @@
 pub struct News {
     /// Revision up to which all changes are told.
     #[serde(rename = "ledgerRev")]
-    pub revision: Stamp,
+    pub revision: Version,
     /// Changes in their order.
     #[serde(rename = "news", default, deserialize_with = "null_is_empty")]
     pub events: Vec<Event>,
@@ -180,6 +189,6 @@
     #[serde(rename = "data", default)]
     pub value: Option<Value>,
     /// Revision of the change.
-    #[serde(default)]
-    pub stamp: Stamp,
+    #[serde(rename = "stamp", default)]
+    pub version: Version,
 }
--- a/src/storage/budget.rs
+++ b/crates/store/src/rate_limit.rs
@@ -1,11 +1,12 @@
 //! A token bucket: a rate with bursts of about one second's worth.
 
-use crate::types::Time;
 use std::time::Duration;
 
+use crate::ids::Time;
+
 /// A token bucket that may be overdrawn, and then refills first.
 #[derive(Debug)]
-pub struct Budget {
+pub struct RateLimit {
     rate: f64,
     burst: f64,
     level: f64,
@@ -15,11 +16,11 @@
     spent: f64,
 }
 
-impl Budget {
+impl RateLimit {
     /// A full bucket of that rate a second and that size.
-    pub fn new(rate: f64, burst: f64) -> Budget {
+    pub fn new(rate: f64, burst: f64) -> RateLimit {
         let burst = burst.max(1.0);
-        Budget {
+        RateLimit {
             rate,
             burst,
             level: burst,
--- a/tests/standin/state.rs
+++ b/crates/testkit/src/state_service.rs
@@ -1,19 +1,22 @@
 //! The state service as a pure function of requests and the time, in milliseconds: for stand-ins on
 //! loopback and for simulated time.
 
-#![allow(dead_code)] // Each test that includes this uses its part.
-
 use ciborium::Value;
 use std::collections::BTreeMap;
 
-use super::values::{get, list, map, number, text};
+use crate::values::{get, list, map, number, text};
 
+/// What the stand-in takes at the most.
+#[derive(Clone, Copy, Debug)]
 pub struct Limits {
+    /// Bytes of a value in JSON.
     pub value_bytes: usize,
+    /// Changes of a transaction.
     pub txn_ops: usize,
 }
 
-pub struct State {
+/// The whole content of the store.
+pub struct StateService {
     revision: u64,
     /// Data, stamp and lease of each key.
     keys: BTreeMap<String, (Value, u64, u64)>,
@@ -21,6 +24,9 @@
     leases: BTreeMap<u64, (u64, u64)>,
     last_lease: u64,
     changes: Vec<(u64, String, Option<Value>)>,
+    /// Changes up to this revision are no longer kept.
+    forgotten_until: u64,
+    /// Limits in force.
     pub limits: Limits,
     /// Every transaction that was carried out and changed something.
     pub carried_out: Vec<Value>,
@@ -44,17 +50,22 @@
     serde_json::to_vec(value).map_or(usize::MAX, |v| v.len())
 }
 
+/// A watch can begin so many changes back.
+const KEPT_CHANGES: usize = 10_000;
+
 /// What a `set` with an expired lease is refused with.
 pub const NO_SUCH_LEASE: &str = "no such lease";
 
-impl State {
-    pub fn new(limits: Limits) -> State {
-        State {
+impl StateService {
+    /// An empty store.
+    pub fn new(limits: Limits) -> StateService {
+        StateService {
             revision: 0,
             keys: BTreeMap::new(),
             leases: BTreeMap::new(),
             last_lease: 0,
             changes: Vec::new(),
+            forgotten_until: 0,
             limits,
             carried_out: Vec::new(),
         }
@@ -101,6 +112,7 @@
             || size(body) > 64 * 1024
     }
 
+    /// Carries out a transaction.
     pub fn txn(&mut self, body: &Value) -> (u16, Value) {
         let changes = list(body, "apply");
         let gone = |c: &&Value| {
@@ -145,9 +157,21 @@
                 self.changes.push((self.revision, key, None));
             }
         }
+        self.forget_old_changes();
         (200, map(vec![("ledgerRev", self.revision.into())]))
     }
 
+    fn forget_old_changes(&mut self) {
+        // In steps, as each one moves all that is kept.
+        if self.changes.len() < KEPT_CHANGES * 2 {
+            return;
+        }
+        let surplus = self.changes.len() - KEPT_CHANGES;
+        if let Some((revision, ..)) = self.changes.drain(..surplus).next_back() {
+            self.forgotten_until = revision;
+        }
+    }
+
     fn item(key: &str, (data, stamp, hold): &(Value, u64, u64)) -> Value {
         map(vec![
             ("path", Value::from(key)),
@@ -161,6 +185,9 @@
     pub fn changes(&self, target: &str, late: bool) -> Option<(u16, Value)> {
         let after: u64 = query(target, "after").parse().unwrap_or(0);
         let prefix = query(target, "prefix");
+        if after < self.forgotten_until {
+            return Some((410, map(vec![("error", "too old".into())])));
+        }
         let seen = self.changes.iter().rev();
         let mut news: Vec<Value> = seen
             .take_while(|(revision, ..)| *revision > after)
@@ -181,11 +208,28 @@
         answers.then(|| (200, map(vec![("ledgerRev", revision), ("news", news)])))
     }
 
+    /// The answer to a watch that does not wait.
+    pub fn watch_now(&self, target: &str) -> (u16, Value) {
+        self.changes(target, true).unwrap_or((503, Value::Null))
+    }
+
     /// What a key holds, for tests that look on.
     pub fn peek(&self, key: &str) -> Option<&Value> {
         self.keys.get(key).map(|(data, ..)| data)
     }
 
+    /// The revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// All keys below a prefix with what they hold.
+    pub fn below<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = (&'a str, &'a Value)> {
+        let from = self.keys.range(prefix.to_owned()..);
+        from.take_while(move |(key, _)| key.starts_with(prefix))
+            .map(|(key, (data, ..))| (key.as_str(), data))
+    }
+
     /// How many keys there are below a prefix.
     pub fn count(&self, prefix: &str) -> usize {
         let below = self.keys.keys().filter(|k| k.starts_with(prefix));
@@ -202,7 +246,7 @@
         let pairs: Vec<Value> = found
             .by_ref()
             .take(page.min(1000))
-            .map(|(k, v)| State::item(k, v))
+            .map(|(k, v)| StateService::item(k, v))
             .collect();
         map(vec![
             ("pairs", Value::Array(pairs)),
@@ -227,7 +271,7 @@
             ("GET", _) => {
                 let key = path.strip_prefix("/kv/").unwrap_or("");
                 match self.keys.get(key) {
-                    Some(held) => (200, State::item(key, held)),
+                    Some(held) => (200, StateService::item(key, held)),
                     None => (404, map(vec![("ledgerRev", self.revision.into())])),
                 }
             }
--- a/tests/standin/values.rs
+++ b/crates/testkit/src/values.rs
@@ -1,11 +1,11 @@
 //! Reading and making CBOR values by field.
 
-#![allow(dead_code)] // Each test that includes this uses its part.
-
 use ciborium::Value;
 
+/// The fields of a map, in their order.
 pub type Fields = Vec<(&'static str, Value)>;
 
+/// A map of those fields.
 pub fn map(fields: Fields) -> Value {
     Value::Map(
         fields
@@ -15,6 +15,7 @@
     )
 }
 
+/// The value of a field.
 pub fn get<'a>(value: &'a Value, key: &str) -> Option<&'a Value> {
     let pairs = value.as_map()?;
     pairs
@@ -23,6 +24,7 @@
         .map(|(_, v)| v)
 }
 
+/// The text in a field, empty if there is none.
 pub fn text(value: &Value, key: &str) -> String {
     get(value, key)
         .and_then(Value::as_text)
@@ -30,11 +32,13 @@
         .to_owned()
 }
 
+/// The number in a field, 0 if there is none.
 pub fn number(value: &Value, key: &str) -> u64 {
     let integer = get(value, key).and_then(Value::as_integer);
     integer.and_then(|i| u64::try_from(i).ok()).unwrap_or(0)
 }
 
+/// The list in a field, empty if there is none.
 pub fn list<'a>(value: &'a Value, key: &str) -> &'a [Value] {
     get(value, key)
         .and_then(Value::as_array)
--- a/src/coordination/failure_detector.rs
+++ b/src/coordination/failure_detector.rs
@@ -61,7 +61,7 @@
         }
         for (name, why) in give_up {
             if let Some(host) = self.hosts.get_mut(&name) {
-                log::info!(
+                tracing::info!(
                     "{name}: given up, {:?}, {} booked",
                     host.lifecycle,
                     host.bookings.len()
@@ -78,7 +78,7 @@
         let limits: Vec<Duration> = limits.collect();
         for (host, limit) in self.hosts.values_mut().zip(limits) {
             if host.lifecycle == HostLifecycle::Up && now.since(host.heard_at) > limit {
-                log::info!("{}: silent", host.name);
+                tracing::info!("{}: silent", host.name);
                 host.enter(HostLifecycle::Silent);
             }
         }
@@ -114,7 +114,7 @@
         let names: Vec<HostName> = hosts.map(|h| h.name.clone()).collect();
         for name in &names {
             if let Some(host) = self.hosts.get_mut(name) {
-                log::info!("{name}: holds cancelled work for too long, returned");
+                tracing::info!("{name}: holds cancelled work for too long, returned");
                 host.cordon(Cordon::Lost);
                 host.enter(HostLifecycle::Releasing);
                 host.removed_at = Some(now);
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -187,7 +187,7 @@
             self.fleet.releasing.remove(name);
         }
         if confirmed {
-            log::info!("returned {} machines", names.len());
+            tracing::info!("returned {} machines", names.len());
             self.on_gone(names, now);
         } else {
             // Perhaps it was carried out; repeating it does no harm.
@@ -213,7 +213,7 @@
         match result {
             RentalResult::Rented(names) => {
                 let (kind, zone, spot) = open.market.clone();
-                log::info!(
+                tracing::info!(
                     "rented {} of {}, {zone}, spot {spot}",
                     names.len(),
                     open.rental.kind
@@ -238,7 +238,7 @@
                 }
             }
             RentalResult::NoCapacity => {
-                log::info!(
+                tracing::info!(
                     "no capacity: {}, {}, spot {}",
                     open.rental.kind,
                     open.market.1,
@@ -275,7 +275,7 @@
             let name = item.name.clone();
             let kind = self.types.iter().position(|t| t.name == item.kind);
             let host = self.hosts.entry(name.clone()).or_insert_with(|| {
-                log::info!("{name}: found in the list");
+                tracing::info!("{name}: found in the list");
                 let mut host = Host::new(name.clone(), now);
                 host.rented_at = Time(
                     now.0
@@ -297,7 +297,7 @@
                     host.running_since.get_or_insert(now);
                 }
                 ListedStatus::Failed if host.lifecycle != HostLifecycle::Releasing => {
-                    log::info!("{name}: failed, says the cloud");
+                    tracing::info!("{name}: failed, says the cloud");
                     host.cordon(Cordon::Lost);
                     host.enter(HostLifecycle::Releasing);
                     self.fleet.release(name);
--- a/src/coordination/forecast.rs
+++ b/src/coordination/forecast.rs
@@ -247,7 +247,7 @@
             tasks,
             ..
         } = forecast;
-        log::debug!(
+        tracing::debug!(
             "forecast: {tasks} tasks, {waiting_now} waiting now, on {} machines; {} more wanted",
             timelines.len(),
             wanted.values().sum::<u64>()
--- a/src/coordination/hosts.rs
+++ b/src/coordination/hosts.rs
@@ -234,7 +234,7 @@
     /// The one place where a machine's life changes.
     pub fn enter(&mut self, life: HostLifecycle) {
         if self.lifecycle != life && self.lifecycle != HostLifecycle::Releasing {
-            log::debug!("{}: {:?} -> {life:?}", self.name, self.lifecycle);
+            tracing::debug!("{}: {:?} -> {life:?}", self.name, self.lifecycle);
             self.lifecycle = life;
         }
     }
@@ -242,7 +242,7 @@
     /// The one place where the machine's ear changes.
     pub fn set_reachability(&mut self, reachability: Reachability) {
         if self.reachability != reachability {
-            log::debug!("{}: {:?} -> {reachability:?}", self.name, self.reachability);
+            tracing::debug!("{}: {:?} -> {reachability:?}", self.name, self.reachability);
             self.reachability = reachability;
         }
     }
@@ -260,7 +260,7 @@
             return;
         }
         if self.without_effect >= DEAF_AFTER {
-            log::info!("{}: reports, but does not hear", self.name);
+            tracing::info!("{}: reports, but does not hear", self.name);
             self.set_reachability(Reachability::HalfOpen { since: now });
         } else {
             self.set_reachability(Reachability::Unconfirmed);
@@ -270,7 +270,7 @@
     /// Closes it for new tasks. The first reason stands, save that a worse one replaces `Surplus`.
     pub fn cordon(&mut self, why: Cordon) {
         if self.cordon.is_none() || self.cordon == Some(Cordon::Surplus) {
-            log::debug!("{}: cordoned, {why:?}", self.name);
+            tracing::debug!("{}: cordoned, {why:?}", self.name);
             self.cordon = Some(why);
         }
     }
@@ -279,7 +279,7 @@
     pub fn uncordon(&mut self) -> bool {
         let closed = self.cordon == Some(Cordon::Surplus);
         if closed {
-            log::debug!("{}: open again", self.name);
+            tracing::debug!("{}: open again", self.name);
             self.cordon = None;
             self.surplus_since = None;
         }
--- a/src/coordination/jobs/mod.rs
+++ b/src/coordination/jobs/mod.rs
@@ -8,7 +8,7 @@
 use super::resources::Resources;
 use crate::protocol::users::{JobSpec, JobState, Priority};
 use crate::storage::records::{JobRecord, OverRecord, RunRecord};
-use crate::types::{Attempt, HostName, JobId, Session, Stamp, Time};
+use crate::types::{Attempt, HostName, JobId, Session, Time, Version};
 
 /// A replica that has run for so long is well.
 pub const SETTLED: Duration = Duration::from_secs(20);
@@ -76,7 +76,7 @@
     /// How many of them are booked.
     booked: u32,
     /// The version of its record; 0 while there is none.
-    pub stamp: Stamp,
+    pub version: Version,
     /// Counts changes, and says up to which one the record is known to be written.
     pub changes: u64,
     /// The last change that is known to be written.
@@ -87,12 +87,12 @@
 
 impl Chunk {
     /// Tasks whose record has that version and holds that change.
-    pub fn new(tasks: Vec<TaskState>, stamp: Stamp, changes: u64) -> Chunk {
+    pub fn new(tasks: Vec<TaskState>, version: Version, changes: u64) -> Chunk {
         let is_booked = |t: &&TaskState| matches!(t, TaskState::Booked { .. });
         Chunk {
             booked: tasks.iter().filter(is_booked).count() as u32,
             tasks,
-            stamp,
+            version,
             changes,
             written: 0,
             version_unknown: false,
@@ -113,7 +113,7 @@
     /// Gone once a job is over: then only `need` and `team` are left, from the run records.
     pub spec: Option<Box<JobSpec>>,
     /// Version of the job's record, which orders the arrivals.
-    pub live: Stamp,
+    pub live: Version,
     /// Time of day of its submission, in milliseconds.
     pub at_ms: u64,
     /// Team whose limit applies.
@@ -150,14 +150,14 @@
     /// Its run records are being split into smaller ones.
     pub record_split: Option<RecordSplit>,
     /// Run records of a split that never came into force, and their versions.
-    pub beyond: BTreeMap<u32, Stamp>,
+    pub beyond: BTreeMap<u32, Version>,
     /// It got done, and its final record still stands in the place of its description.
     pub to_archive: Option<OverRecord>,
 }
 
 impl Job {
     /// A job of which nothing is booked.
-    pub fn new(record: JobRecord, live: Stamp) -> Job {
+    pub fn new(record: JobRecord, live: Version) -> Job {
         let JobRecord { spec, at_ms, chunk } = record;
         let tasks_per_record = chunk.max(1);
         let total = spec.tasks as u32;
@@ -199,7 +199,7 @@
         Job {
             id,
             spec: None,
-            live: Stamp(0),
+            live: Version(0),
             at_ms: 0,
             team: record.team.clone(),
             need: Resources {
@@ -228,7 +228,7 @@
     }
 
     /// A job that got done under an earlier leader, whose records are not swept up yet.
-    pub fn done_before(id: JobId, over: OverRecord, live: Stamp, now: Time) -> Job {
+    pub fn done_before(id: JobId, over: OverRecord, live: Version, now: Time) -> Job {
         let mut job = Job::orphan(id, &RunRecord::default(), now);
         job.phase = JobPhase::GarbageCollected;
         job.cancelled_at = None;
@@ -246,7 +246,7 @@
     }
 
     /// Its final record is written, at that version.
-    pub fn finished(&mut self, live: Stamp) {
+    pub fn finished(&mut self, live: Version) {
         self.live = live;
         self.to_archive = Some(self.outcome());
     }
@@ -258,7 +258,7 @@
 
     /// The one place where a job changes its phase.
     pub fn enter(&mut self, phase: JobPhase, now: Time) {
-        log::debug!("{}: {:?} -> {phase:?}", self.id, self.phase);
+        tracing::debug!("{}: {:?} -> {phase:?}", self.id, self.phase);
         self.phase = phase;
         if phase == JobPhase::Cancelled {
             self.cancelled_at.get_or_insert(now);
@@ -346,7 +346,7 @@
         let slot = self.chunks.get_mut(number as usize)?;
         let chunk = slot.get_or_insert_with(|| {
             let tasks = vec![TaskState::default(); length as usize];
-            Box::new(Chunk::new(tasks, Stamp(0), 0))
+            Box::new(Chunk::new(tasks, Version(0), 0))
         });
         let task = chunk
             .tasks
--- a/src/coordination/jobs/run_records.rs
+++ b/src/coordination/jobs/run_records.rs
@@ -8,7 +8,7 @@
         &mut self,
         number: u32,
         record: &RunRecord,
-        stamp: Stamp,
+        version: Version,
     ) -> Vec<(u32, Attempt, HostName, Session)> {
         let at = number as usize;
         let chunks = self.chunks.iter().flatten();
@@ -16,8 +16,8 @@
         if split && chunks.count() > 0 || self.spec.is_some() && at >= self.chunks.len() {
             // Part of a split that was broken off: what it holds stands in the larger records too,
             // and those are in force.
-            log::info!("{}: run record {number} is not in force", self.id);
-            self.beyond.insert(number, stamp);
+            tracing::info!("{}: run record {number} is not in force", self.id);
+            self.beyond.insert(number, version);
             return Vec::new();
         }
         if self.spec.is_none() {
@@ -27,7 +27,7 @@
             self.chunks.resize_with(at + 1, || None);
         }
         if at >= self.chunks.len() {
-            log::error!("{}: run record {number} lies beyond the job", self.id);
+            tracing::error!("{}: run record {number} lies beyond the job", self.id);
             return Vec::new();
         }
         let tasks = task_states(record, self.chunk_length(number));
@@ -49,7 +49,7 @@
                 TaskState::Done => self.done += 1,
             }
         }
-        self.chunks[at] = Some(Box::new(Chunk::new(tasks, stamp, 0)));
+        self.chunks[at] = Some(Box::new(Chunk::new(tasks, version, 0)));
         bookings
     }
 
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -3,10 +3,10 @@
 
 use std::time::Duration;
 
-use crate::protocol::state::{value, Change, Txn};
 use crate::storage::records::{HolderRecord, TermRecord, HOLDER, TERM};
 use crate::storage::store::Outcome;
-use crate::types::{LeaseId, Stamp, Term, Time};
+use crate::types::{LeaseId, Term, Time, Version};
+use lichencrank_store::{value, Change, Txn};
 
 /// Where this controller is in the election.
 #[derive(Clone, Debug, PartialEq)]
@@ -18,7 +18,7 @@
         /// The term to be won.
         term: Term,
         /// Version of the highest term's key.
-        term_stamp: Stamp,
+        term_version: Version,
     },
     /// The transaction that wins the key is on its way.
     Claiming {
@@ -34,7 +34,7 @@
         /// Its term, the fencing token.
         term: Term,
         /// Version of the leader's key.
-        stamp: Stamp,
+        version: Version,
     },
 }
 
@@ -58,7 +58,7 @@
 pub enum LeadershipAction {
     /// Read the keys below `lead/`.
     Read,
-    /// Ask for a lease of that length.
+    /// StateRequest for a lease of that length.
     Grant(Duration),
     /// Send this claim.
     Claim(Txn),
@@ -73,7 +73,7 @@
         /// Term that was won.
         term: Term,
         /// Version of the leader's key.
-        stamp: Stamp,
+        version: Version,
     },
     /// Stop leading.
     StepDown,
@@ -83,9 +83,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Seen {
     /// The leader's key and its version, if it exists.
-    pub holder: Option<(HolderRecord, Stamp)>,
+    pub holder: Option<(HolderRecord, Version)>,
     /// The highest term and its version.
-    pub term: Option<(Term, Stamp)>,
+    pub term: Option<(Term, Version)>,
 }
 
 /// Clocks of different machines drift apart by at most 0.05%; this is well beyond that.
@@ -152,7 +152,7 @@
     /// The one place where the role changes.
     fn enter(&mut self, role: Role) {
         if self.role != role {
-            log::info!("leadership: {:?} -> {role:?}", self.role);
+            tracing::info!("leadership: {:?} -> {role:?}", self.role);
             self.role = role;
         }
     }
@@ -287,8 +287,8 @@
         if self.role != Role::Following {
             return None;
         }
-        let (term, term_stamp) = seen.term.unwrap_or((Term(0), Stamp(0)));
-        let Some((holder, stamp)) = seen.holder else {
+        let (term, term_version) = seen.term.unwrap_or((Term(0), Version(0)));
+        let Some((holder, version)) = seen.holder else {
             self.confirmed_at = None;
             if term >= self.term {
                 self.term = term;
@@ -301,7 +301,7 @@
             }
             self.enter(Role::Granting {
                 term: Term(term.0 + 1),
-                term_stamp,
+                term_version,
             });
             return Some(LeadershipAction::Grant(self.ttl));
         };
@@ -309,7 +309,7 @@
         if holder.node == self.node {
             if holder.incarnation == self.incarnation {
                 // A claim thought lost was carried out.
-                return Some(self.lead(holder.lease, holder.term, stamp, now));
+                return Some(self.lead(holder.lease, holder.term, version, now));
             }
             // This node's earlier process: it is dead, or this one would not run.
             return Some(LeadershipAction::End(holder.lease));
@@ -331,15 +331,25 @@
         leader.map(|leader| (self.term, leader))
     }
 
-    fn lead(&mut self, lease: LeaseId, term: Term, stamp: Stamp, now: Time) -> LeadershipAction {
+    fn lead(
+        &mut self,
+        lease: LeaseId,
+        term: Term,
+        version: Version,
+        now: Time,
+    ) -> LeadershipAction {
         self.term = term;
         self.leader = Some(self.node.clone());
-        self.enter(Role::Leading { lease, term, stamp });
+        self.enter(Role::Leading {
+            lease,
+            term,
+            version,
+        });
         // A renewal at once: the time of the grant is not known for sure any more.
         self.renewing = false;
         self.renew_at = Time::default();
         self.valid_until = self.valid_until.max(now);
-        LeadershipAction::Lead { term, stamp }
+        LeadershipAction::Lead { term, version }
     }
 
     /// Takes in the outcome of one of the election's requests.
@@ -351,15 +361,19 @@
         now: Time,
     ) -> Option<LeadershipAction> {
         match (step, &self.role, outcome) {
-            (Step::Grant, Role::Granting { term, term_stamp }, Outcome::Granted(lease)) => {
-                let (term, term_stamp) = (*term, *term_stamp);
+            (Step::Grant, Role::Granting { term, term_version }, Outcome::Granted(lease)) => {
+                let (term, term_version) = (*term, *term_version);
                 self.valid_until = sent.after(self.ttl.mul_f64(DRIFT));
                 self.enter(Role::Claiming { lease, term });
-                Some(LeadershipAction::Claim(self.claim(lease, term, term_stamp)))
+                Some(LeadershipAction::Claim(self.claim(
+                    lease,
+                    term,
+                    term_version,
+                )))
             }
-            (Step::Claim, Role::Claiming { lease, term }, Outcome::Applied(stamp)) => {
+            (Step::Claim, Role::Claiming { lease, term }, Outcome::Committed(version)) => {
                 let (lease, term) = (*lease, *term);
-                Some(self.lead(lease, term, stamp, now))
+                Some(self.lead(lease, term, version, now))
             }
             (Step::Claim, Role::Claiming { lease, .. }, Outcome::Conflict(_)) => {
                 let lease = *lease;
@@ -392,7 +406,7 @@
         }
     }
 
-    fn claim(&self, lease: LeaseId, term: Term, term_stamp: Stamp) -> Txn {
+    fn claim(&self, lease: LeaseId, term: Term, term_version: Version) -> Txn {
         let holder = HolderRecord {
             node: self.node.clone(),
             incarnation: self.incarnation,
@@ -400,8 +414,8 @@
             term,
         };
         let mut txn = Txn::default();
-        txn.require(HOLDER.to_owned(), Stamp(0));
-        txn.require(TERM.to_owned(), term_stamp);
+        txn.require(HOLDER.to_owned(), Version(0));
+        txn.require(TERM.to_owned(), term_version);
         txn.changes.push(Change::Put {
             key: HOLDER.to_owned(),
             value: value(&holder),
--- a/src/coordination/lifecycle.rs
+++ b/src/coordination/lifecycle.rs
@@ -5,11 +5,11 @@
 use super::{Controller, Phase, BLIND_PART, MAX_CANCELLED, MAX_CLASSES};
 use crate::storage::records::{JobRecord, OverRecord};
 use crate::storage::write_batcher::Written;
-use crate::types::{HostName, JobId, Stamp, TaskId, Time};
+use crate::types::{HostName, JobId, TaskId, Time, Version};
 
 impl Controller {
     /// A job's record, at the start or as news of the watch.
-    pub fn on_job(&mut self, record: JobRecord, live: Stamp) {
+    pub fn on_job(&mut self, record: JobRecord, live: Version) {
         let id = record.spec.id;
         if let Some(job) = self.jobs.get_mut(&id).filter(|j| j.spec.is_some()) {
             if job.record_split.is_some() && record.chunk == job.tasks_per_record {
@@ -23,7 +23,7 @@
             }
             return;
         }
-        log::debug!(
+        tracing::debug!(
             "{id}: {} tasks, {:?}, {} CPUs, about {} s each, saves every {} s, due in {} s",
             record.spec.tasks,
             record.spec.priority,
@@ -48,7 +48,7 @@
 
     /// A job's final record where its description was. It got done under an earlier leader, or it is our
     /// own doing; the answer to that may have been lost.
-    pub fn on_final(&mut self, id: JobId, over: OverRecord, live: Stamp) {
+    pub fn on_final(&mut self, id: JobId, over: OverRecord, live: Version) {
         let now = self.now;
         let job = self
             .jobs
@@ -106,7 +106,7 @@
         if !matches!(job.phase, JobPhase::Active | JobPhase::Finishing) {
             return;
         }
-        log::debug!("{id}: cancelled with {} tasks booked", job.booked);
+        tracing::debug!("{id}: cancelled with {} tasks booked", job.booked);
         job.enter(JobPhase::Cancelled, now);
         let booked: Vec<(HostName, TaskId)> = self
             .hosts
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -28,12 +28,12 @@
 use std::time::Duration;
 
 use crate::protocol::cloud::{MachineType, Rental};
-use crate::protocol::state::Txn;
 use crate::protocol::workers::{Order, Report};
 use crate::settings::{Service, Team, Tuning};
 use crate::storage::records::RunRecord;
 use crate::storage::write_batcher::{Jobs, Verdict, WriteBatcher, Written};
-use crate::types::{seconds, HostName, JobId, Session, Stamp, TaskId, Term, Tick, Time};
+use crate::types::{seconds, HostName, JobId, Session, TaskId, Term, Tick, Time, Version};
+use lichencrank_store::Txn;
 
 use fleet::Fleet;
 use hosts::{Booking, BookingPhase, Host, HostLifecycle, StopWhy};
@@ -171,7 +171,7 @@
     /// A leader that has read nothing yet. `holder` is the version of its key.
     pub fn new(
         term: Term,
-        holder: Stamp,
+        holder: Version,
         rules: Policy,
         types: Vec<MachineType>,
         now: Time,
@@ -234,7 +234,7 @@
 
     /// The one place where the controller changes its phase.
     fn enter(&mut self, phase: Phase) {
-        log::info!("term {}: {:?} -> {phase:?}", self.term, self.phase);
+        tracing::info!("term {}: {:?} -> {phase:?}", self.term, self.phase);
         self.phase = phase;
         self.place_wanted = true;
     }
@@ -247,7 +247,7 @@
         id: JobId,
         number: u32,
         record: &RunRecord,
-        stamp: Stamp,
+        version: Version,
         now: Time,
     ) {
         let job = self
@@ -256,7 +256,7 @@
             .or_insert_with(|| Job::orphan(id, record, now));
         let (need, team) = (job.need, job.team.clone());
         let stop = (job.phase == JobPhase::Cancelled).then_some(StopWhy::Cancelled);
-        for (index, attempt, name, session) in job.load(number, record, stamp) {
+        for (index, attempt, name, session) in job.load(number, record, version) {
             let task = TaskId { job: id, index };
             let host = self
                 .hosts
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -473,7 +473,7 @@
             return;
         };
         let change = job.chunk(number).map_or(0, |c| c.changes);
-        log::debug!("{task} attempt {attempt} -> {name}");
+        tracing::debug!("{task} attempt {attempt} -> {name}");
         host.book(
             task,
             Booking {
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -77,7 +77,7 @@
             let Way {
                 lost, name, tasks, ..
             } = way;
-            log::debug!(
+            tracing::debug!(
                 "{}: {} tasks on {name} make room, {lost} s lost",
                 job.id,
                 tasks.len()
--- a/src/coordination/ranking.rs
+++ b/src/coordination/ranking.rs
@@ -8,7 +8,7 @@
 use super::resources::Resources;
 use super::Controller;
 use crate::protocol::users::{JobSpec, Priority};
-use crate::types::{seconds, JobId, Stamp};
+use crate::types::{seconds, JobId, Version};
 
 /// Jobs in the order in which they are served: those that have waited too long for a first start
 /// go first, whatever they are, so that nothing starves; then those within their team's guarantee don't wait for
@@ -30,7 +30,7 @@
     /// powers of two, so that what is done soon does not wait for what takes for ever.
     pub work: u32,
     /// Orders jobs by their arrival.
-    pub arrival: Stamp,
+    pub arrival: Version,
     /// The job.
     pub id: JobId,
 }
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -62,7 +62,7 @@
                 Vec::new()
             }
         } else {
-            log::debug!("{name}: late report {}/{}", report.session, report.tick);
+            tracing::debug!("{name}: late report {}/{}", report.session, report.tick);
             Vec::new()
         };
         self.hosts.insert(name, host);
@@ -153,7 +153,7 @@
             .map(|(t, _)| *t)
             .collect();
         if !old.is_empty() {
-            log::info!("{}: session {session}, {} tasks lost", host.name, old.len());
+            tracing::info!("{}: session {session}, {} tasks lost", host.name, old.len());
         }
         for task in old {
             self.end_booking(host, task, false, now);
@@ -215,7 +215,7 @@
             (cause, self.jobs.get_mut(&task.job), service)
         {
             job.replica_ended(ran, now);
-            log::info!(
+            tracing::info!(
                 "{}: {task} ended by itself after {ran:?}: {cause:?}",
                 host.name
             );
@@ -232,7 +232,7 @@
             Some(Cause::Error) if service && ran >= SETTLED => {}
             Some(Cause::Error) => self.task_failed(host, task, now),
             _ => {
-                log::info!("{}: {task} attempt {attempt} refused: {cause:?}", host.name);
+                tracing::info!("{}: {task} attempt {attempt} refused: {cause:?}", host.name);
                 if let Some(job) = self.jobs.get_mut(&task.job) {
                     job.not_before = now.after(Duration::from_secs(1));
                 }
@@ -254,7 +254,7 @@
     fn image_arrived(&mut self, host: &mut Host, task: TaskId, now: Time) {
         if let Some(job) = self.jobs.get_mut(&task.job) {
             if let Some((since, why)) = job.gaps.remove(&task.index) {
-                log::info!("{task} runs again after {:?}: {why}", now.since(since));
+                tracing::info!("{task} runs again after {:?}: {why}", now.since(since));
             }
         }
         let spec = self.jobs.get(&task.job).and_then(|j| j.spec.as_ref());
@@ -368,7 +368,7 @@
         if job.suspect() {
             if !before {
                 let (times, machines) = (job.failures, job.failed_on.len());
-                log::info!(
+                tracing::info!(
                     "{}: fails wherever it is tried ({times} times, {machines} machines)",
                     task.job
                 );
@@ -378,9 +378,9 @@
         }
         host.failures += 1;
         let proven = job.done > 0 || job.failed_on.len() == 1 && host.failures >= 3;
-        log::info!("{}: {task} failed, {} in a row", host.name, host.failures);
+        tracing::info!("{}: {task} failed, {} in a row", host.name, host.failures);
         if host.failed_jobs.len() >= 2 || (proven && host.failures >= 2) {
-            log::info!("{}: fails what it is given", host.name);
+            tracing::info!("{}: fails what it is given", host.name);
             host.cordon(Cordon::Sick);
         }
     }
@@ -388,7 +388,7 @@
     /// A task that the records don't place here. Book before run leaves no honest way to this,
     /// so it is stopped; until it has ended, it is not started elsewhere.
     fn stray(&mut self, host: &mut Host, task: TaskId, attempt: Attempt, now: Time) {
-        log::warn!("{}: {task} attempt {attempt} is not booked here", host.name);
+        tracing::warn!("{}: {task} attempt {attempt} is not booked here", host.name);
         host.strays.insert((task, attempt));
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
--- a/src/coordination/services.rs
+++ b/src/coordination/services.rs
@@ -145,7 +145,7 @@
             return;
         };
         let count = (missing / cpus(kind)).ceil() as u64;
-        log::info!("{count} machines are rented as a standby");
+        tracing::info!("{count} machines are rented as a standby");
         self.order((kind, zone, false), count, now);
     }
 
@@ -208,7 +208,7 @@
             }
         }
         for (host, task) in moves {
-            log::info!("{host}: {task} is moved");
+            tracing::info!("{host}: {task} is moved");
             self.stop(&host, task, StopWhy::Drained, now);
         }
     }
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,32 +1,21 @@
 //! Levelled logs on standard error; `LOG_LEVEL` chooses how much.
 
-use log::{LevelFilter, Log, Metadata, Record};
-use std::io::Write;
+use tracing::level_filters::LevelFilter;
 
-struct Stderr;
-
-impl Log for Stderr {
-    fn enabled(&self, metadata: &Metadata) -> bool {
-        metadata.level() <= log::max_level()
-    }
-
-    fn log(&self, record: &Record) {
-        if self.enabled(record.metadata()) {
-            // One write per line; a closed standard error is no reason to end the service.
-            let line = format!("{:5} {}\n", record.level(), record.args());
-            let _ = std::io::stderr().write_all(line.as_bytes());
-        }
-    }
-
-    fn flush(&self) {}
-}
-
-/// Starts logging; an unknown level means `info`.
+/// Starts logging; an unknown level means `info`. Without a timestamp, as whoever runs the program
+/// stamps its lines.
 pub fn start(level: Option<&str>) {
     let level = level
-        .and_then(|l| l.parse::<LevelFilter>().ok())
-        .unwrap_or(LevelFilter::Info);
-    if log::set_logger(&Stderr).is_ok() {
-        log::set_max_level(level);
-    }
+        .and_then(|name| name.parse::<LevelFilter>().ok())
+        .unwrap_or(LevelFilter::INFO);
+    // A second start, as tests in one process do, keeps the first.
+    let _ = tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .with_target(false)
+        .without_time()
+        // A closed standard error is no reason to end the service.
+        .log_internal_errors(false)
+        .try_init();
 }
--- a/src/node/api/mod.rs
+++ b/src/node/api/mod.rs
@@ -13,13 +13,13 @@
 use crate::protocol::cloud::MachineType;
 use crate::protocol::encode;
 use crate::protocol::peers::{RelayedRequest, RelayedResponse};
-use crate::protocol::state::{value, Change, Item, Page, Txn};
 use crate::protocol::users::{self, JobSpec, JobState, JobStatus, Problem, Submission};
 use crate::settings::Team;
 use crate::storage::records::{self, JobRecord, OverRecord, RunRecord};
-use crate::storage::store::{Ask, Class, Outcome};
+use crate::storage::store::{Class, Outcome, StateRequest};
 use crate::transport::{ConnId, Response};
-use crate::types::{JobId, Stamp, Time};
+use crate::types::{JobId, Time, Version};
+use lichencrank_store::{value, Change, Item, Page, Txn};
 use status_queries::{Known, Listing};
 
 /// How long users wait for an answer, less the way back.
@@ -104,8 +104,8 @@
 
 /// What the front needs done.
 pub enum ApiAction {
-    /// Ask the state service.
-    Ask(Class, Ask, ApiStateRequest),
+    /// StateRequest the state service.
+    StateRequest(Class, StateRequest, ApiStateRequest),
     /// Answer a request.
     Respond(ConnId, Response),
     /// Pass a request on to another controller.
@@ -246,10 +246,10 @@
             Class::User
         };
         let ask = match &open.stage {
-            Stage::ReadingLive => Ask::Get(records::live_key(job)),
-            Stage::ReadingCounts => Ask::Get(records::run_key(job, 0)),
-            Stage::ReadingOver => Ask::Get(records::over_key(job)),
-            Stage::ReadingBookings => Ask::List {
+            Stage::ReadingLive => StateRequest::Get(records::live_key(job)),
+            Stage::ReadingCounts => StateRequest::Get(records::run_key(job, 0)),
+            Stage::ReadingOver => StateRequest::Get(records::over_key(job)),
+            Stage::ReadingBookings => StateRequest::List {
                 prefix: records::run_prefix(job),
                 after: String::new(),
                 limit: BOOKINGS_PAGE,
@@ -268,8 +268,11 @@
             }
             Stage::Cancelling | Stage::Relaying => return,
         };
-        self.acts
-            .push(ApiAction::Ask(class, ask, ApiStateRequest::One(id)));
+        self.acts.push(ApiAction::StateRequest(
+            class,
+            ask,
+            ApiStateRequest::One(id),
+        ));
     }
 
     /// The state service did not do what it was asked. Where the budget did not suffice, and once
@@ -281,7 +284,7 @@
         };
         let lost = matches!(outcome, Outcome::Unknown) && view.answers && !open.repeated;
         open.repeated |= lost;
-        if lost || matches!(outcome, Outcome::Busy) {
+        if lost || matches!(outcome, Outcome::RateLimited { .. }) {
             self.again(id, now);
         } else {
             self.relay(id);
@@ -398,16 +401,16 @@
                 continue;
             }
             bytes += size;
-            txn.require(key.clone(), Stamp(0));
-            txn.require(records::over_key(open.job), Stamp(0));
+            txn.require(key.clone(), Version(0));
+            txn.require(records::over_key(open.job), Version(0));
             txn.changes.push(Change::put(key, value(record)));
             ids.push(id);
         }
         self.queue = later;
         if !ids.is_empty() {
             self.in_flight = true;
-            let ask = Ask::Txn(txn);
-            self.acts.push(ApiAction::Ask(
+            let ask = StateRequest::Txn(txn);
+            self.acts.push(ApiAction::StateRequest(
                 Class::User,
                 ask,
                 ApiStateRequest::Batch(ids),
--- a/src/node/api/outcomes.rs
+++ b/src/node/api/outcomes.rs
@@ -38,7 +38,7 @@
             };
             let job = open.job;
             match &outcome {
-                Outcome::Applied(revision) => {
+                Outcome::Committed(revision) => {
                     if !self.finals.contains_key(&job) {
                         self.know(job, *revision);
                     }
@@ -74,7 +74,7 @@
             (Stage::ReadingOver, Outcome::Item(Some(item))) => self.on_final_record(id, job, &item),
             // Neither live nor over: as that move is atomic and one-way, it was never accepted.
             (Stage::ReadingOver, Outcome::Item(None)) => self.never_accepted(id),
-            (Stage::Cancelling, Outcome::Applied(_)) => {
+            (Stage::Cancelling, Outcome::Committed(_)) => {
                 self.cancelled.push(job);
                 self.enter(id, Stage::AwaitingLeader);
             }
@@ -110,9 +110,9 @@
             self.finish(id, Self::final_answer(job, over));
             return;
         }
-        self.know(job, item.stamp);
+        self.know(job, item.version);
         if self.cancels(id) {
-            self.send_cancellation(id, job, item.stamp);
+            self.send_cancellation(id, job, item.version);
         } else if let Some((done, running)) = (view.counts)(job) {
             self.answer_progress(id, job, done, running);
         } else {
@@ -191,7 +191,7 @@
         self.finish(id, Self::final_answer(job, over));
     }
 
-    pub(super) fn send_cancellation(&mut self, id: ApiRequestId, job: JobId, live: Stamp) {
+    pub(super) fn send_cancellation(&mut self, id: ApiRequestId, job: JobId, live: Version) {
         let over = OverRecord {
             state: JobState::Cancelled,
             tasks: 0,
@@ -202,9 +202,12 @@
         txn.changes
             .push(Change::put(records::over_key(job), value(&over)));
         self.enter(id, Stage::Cancelling);
-        let ask = Ask::Txn(txn);
-        self.acts
-            .push(ApiAction::Ask(Class::User, ask, ApiStateRequest::One(id)));
+        let ask = StateRequest::Txn(txn);
+        self.acts.push(ApiAction::StateRequest(
+            Class::User,
+            ask,
+            ApiStateRequest::One(id),
+        ));
     }
 
     pub(super) fn never_accepted(&mut self, id: ApiRequestId) {
--- a/src/node/api/status_queries.rs
+++ b/src/node/api/status_queries.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use super::{ApiAction, ApiRequestId, ApiServer, ApiStateRequest, Stage, View};
-use crate::protocol::state::{Condition, Txn};
 use crate::storage::records::{self, parse_live, OverRecord};
-use crate::storage::store::{Ask, Class, Outcome};
-use crate::types::{JobId, Stamp, Time};
+use crate::storage::store::{Class, Outcome, StateRequest};
+use crate::types::{JobId, Time, Version};
+use lichencrank_store::{Condition, Txn};
 
 /// So many polls about jobs that this node does not know are answered by one read of all jobs.
 const WORTH_LISTING: usize = 8;
@@ -21,7 +21,7 @@
 /// What this node last read of a job that was not over. That alone is no answer, as it grows old;
 /// but one comparison shows of many jobs at once whether they still stand as they were read.
 pub(super) struct Known {
-    live: Stamp,
+    live: Version,
     /// Finished and running tasks, for display.
     pub(super) counts: (u64, u64),
     pub(super) counted: Time,
@@ -38,7 +38,7 @@
 
 impl ApiServer {
     /// A job that was not over at that version of its record.
-    pub(super) fn know(&mut self, id: JobId, live: Stamp) {
+    pub(super) fn know(&mut self, id: JobId, live: Version) {
         let counts = (0, 0);
         let counted = Time::default();
         if self.known.len() >= MAX_KNOWN && !self.known.contains_key(&id) {
@@ -74,13 +74,16 @@
     }
 
     fn list_page(&mut self, after: String) {
-        let ask = Ask::List {
+        let ask = StateRequest::List {
             prefix: records::LIVE.to_owned(),
             after,
             limit: LIST_PAGE,
         };
-        self.acts
-            .push(ApiAction::Ask(Class::Read, ask, ApiStateRequest::Listing));
+        self.acts.push(ApiAction::StateRequest(
+            Class::Read,
+            ask,
+            ApiStateRequest::Listing,
+        ));
     }
 
     pub(super) fn on_listing(&mut self, outcome: Outcome, view: &View, now: Time) {
@@ -98,7 +101,7 @@
                 let over = records::over_in_place(&item.value);
                 listing.seen.insert(job, over);
                 if over.is_none() {
-                    self.know(job, item.stamp);
+                    self.know(job, item.version);
                 }
             }
         }
@@ -148,17 +151,17 @@
                     continue;
                 }
                 compared.insert(job);
-                let (key, stamp) = (records::live_key(job), known.live);
-                txn.conditions.push(Condition { key, stamp });
+                let (key, version) = (records::live_key(job), known.live);
+                txn.conditions.push(Condition { key, version });
             }
             ids.push(id);
         }
         self.list_all(unknown);
         if !ids.is_empty() {
             self.comparing = true;
-            self.acts.push(ApiAction::Ask(
+            self.acts.push(ApiAction::StateRequest(
                 Class::Read,
-                Ask::Txn(txn),
+                StateRequest::Txn(txn),
                 ApiStateRequest::Comparison(ids),
             ));
         }
@@ -182,7 +185,7 @@
             };
             let job = open.job;
             match &outcome {
-                Outcome::Applied(_) => self.still_live(id, job, view, now),
+                Outcome::Committed(_) => self.still_live(id, job, view, now),
                 // Those that are not named need not be the others: they are compared again.
                 Outcome::Conflict(_) if !changed.is_empty() && !changed.contains(&job) => {
                     self.enter(id, Stage::Comparing);
--- a/src/node/heartbeats.rs
+++ b/src/node/heartbeats.rs
@@ -5,9 +5,9 @@
 
 use super::{peer_messages, Node, HEADROOM};
 use crate::protocol::peers::{self, Heartbeat, Spending};
-use crate::storage::budget::share_of;
 use crate::transport::{CallError, CallId, Network, Response};
 use crate::types::{JobId, Term, Time};
+use lichencrank_store::rate_limit::share_of;
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -160,7 +160,7 @@
                 } else {
                     "not heard"
                 };
-                log::info!("{}: {how}", named.name);
+                tracing::info!("{}: {how}", named.name);
             }
         }
     }
--- a/src/node/leader_duties/cloud.rs
+++ b/src/node/leader_duties/cloud.rs
@@ -80,7 +80,7 @@
         };
         if records::size(&types) > self.controller.batcher.max_value {
             // Nodes ask the cloud then.
-            log::info!("the machine types are too large to be kept");
+            tracing::info!("the machine types are too large to be kept");
             self.types_written = true;
             return;
         }
@@ -90,7 +90,7 @@
             .push(Change::put(records::TYPES.to_owned(), value(&types)));
         self.pending.push((
             Class::Booking,
-            Ask::Txn(txn),
+            StateRequest::Txn(txn),
             BATCH_LIMIT,
             LeaderRequest::Types,
         ));
--- a/src/node/leader_duties/loading.rs
+++ b/src/node/leader_duties/loading.rs
@@ -13,7 +13,7 @@
 
     /// Reads the next page of all records below a prefix.
     fn read_page(&mut self, prefix: &str, after: String, what: fn(String) -> LeaderRequest) {
-        let ask = Ask::List {
+        let ask = StateRequest::List {
             prefix: prefix.to_owned(),
             after: after.clone(),
             limit: LOAD_PAGE,
@@ -24,7 +24,7 @@
 
     pub(super) fn watch(&mut self) {
         let prefix = records::LIVE.to_owned();
-        let ask = Ask::Watch {
+        let ask = StateRequest::Watch {
             prefix,
             after: self.watch_from,
             hold: WATCH_HOLD,
@@ -54,13 +54,13 @@
                 let Controller { batcher, jobs, .. } = &mut self.controller;
                 match outcome {
                     Outcome::Item(item) => {
-                        let stamp = item.map_or(Stamp(0), |i| i.stamp);
-                        batcher.reread(jobs, job, chunk, stamp);
+                        let version = item.map_or(Version(0), |i| i.version);
+                        batcher.reread(jobs, job, chunk, version);
                     }
                     _ => batcher.version_still_unknown(job, chunk),
                 }
             }
-            LeaderRequest::Types => self.types_written = matches!(outcome, Outcome::Applied(_)),
+            LeaderRequest::Types => self.types_written = matches!(outcome, Outcome::Committed(_)),
         }
         Ok(())
     }
@@ -73,9 +73,9 @@
             seen.insert(id);
         }
         if let Some(over) = records::over_in_place(&item.value) {
-            self.controller.on_final(id, over, item.stamp);
+            self.controller.on_final(id, over, item.version);
         } else if let Some(record) = item.record() {
-            self.controller.on_job(record, item.stamp);
+            self.controller.on_job(record, item.version);
         }
     }
 
@@ -117,7 +117,7 @@
             };
             if let Some(record) = item.record() {
                 self.controller
-                    .on_run_record(job, chunk, &record, item.stamp, now);
+                    .on_run_record(job, chunk, &record, item.version, now);
             }
         }
         if let Some(last) = page.items.last().filter(|_| page.more) {
@@ -126,7 +126,7 @@
         }
         self.loaded = true;
         self.controller.on_loaded(now);
-        log::info!("records read: {}", self.controller.summary());
+        tracing::info!("records read: {}", self.controller.summary());
         self.watch();
     }
 
@@ -139,7 +139,7 @@
                         self.take_job(&Item {
                             key,
                             value,
-                            stamp: event.stamp,
+                            version: event.version,
                         });
                     } else if let Some(id) = event.delete.as_deref().and_then(records::parse_live) {
                         self.controller.on_job_gone(id, now);
@@ -155,7 +155,7 @@
     pub(super) fn on_batch(&mut self, outcome: Outcome, now: Time) -> Result<(), Deposed> {
         let Controller { batcher, jobs, .. } = &mut self.controller;
         let verdict = match outcome {
-            Outcome::Applied(revision) => batcher.applied(jobs, revision, now),
+            Outcome::Committed(revision) => batcher.applied(jobs, revision, now),
             Outcome::Conflict(failed) => batcher.conflict(jobs, &failed),
             Outcome::Unknown => {
                 batcher.lost();
--- a/src/node/leader_duties/mod.rs
+++ b/src/node/leader_duties/mod.rs
@@ -13,14 +13,14 @@
 use crate::coordination::fleet::RentalResult;
 use crate::coordination::{Action, CommandResult, Controller, Deposed};
 use crate::protocol::cloud::{HostList, HostNames, ListedHost, MachineTypes, Rental, LIST_PAGE};
-use crate::protocol::state::{value, Change, Item, Page, Txn};
 use crate::protocol::workers::{Command, Order};
 use crate::protocol::{decode, encode};
-use crate::storage::budget::Budget;
 use crate::storage::records;
-use crate::storage::store::{Ask, Class, Outcome};
+use crate::storage::store::{Class, Outcome, StateRequest};
 use crate::transport::{CallError, CallId, Network, Response};
-use crate::types::{HostName, JobId, Session, Stamp, Time};
+use crate::types::{HostName, JobId, Session, Time, Version};
+use lichencrank_store::rate_limit::RateLimit;
+use lichencrank_store::{value, Change, Item, Page, Txn};
 
 /// Which request to the state service an outcome answers.
 #[derive(Clone, Debug)]
@@ -94,10 +94,10 @@
 pub(super) struct LeaderDuties {
     pub controller: Controller,
     cloud: SocketAddr,
-    cloud_budget: Budget,
+    cloud_budget: RateLimit,
     calls: HashMap<CallId, LeaderCall>,
-    pending: Vec<(Class, Ask, Duration, LeaderRequest)>,
-    watch_from: Stamp,
+    pending: Vec<(Class, StateRequest, Duration, LeaderRequest)>,
+    watch_from: Version,
     /// While the jobs are read again in full: those seen so far.
     seen: Option<BTreeSet<JobId>>,
     loaded: bool,
@@ -125,10 +125,10 @@
         let mut duties = LeaderDuties {
             controller,
             cloud,
-            cloud_budget: Budget::new(cloud_rps * 0.8, cloud_rps),
+            cloud_budget: RateLimit::new(cloud_rps * 0.8, cloud_rps),
             calls: HashMap::new(),
             pending: Vec::new(),
-            watch_from: Stamp(0),
+            watch_from: Version(0),
             seen: Some(BTreeSet::new()),
             loaded: false,
             listing: Vec::new(),
@@ -145,7 +145,7 @@
         duties
     }
 
-    pub(super) fn take_pending(&mut self) -> Vec<(Class, Ask, Duration, LeaderRequest)> {
+    pub(super) fn take_pending(&mut self) -> Vec<(Class, StateRequest, Duration, LeaderRequest)> {
         std::mem::take(&mut self.pending)
     }
 
@@ -157,7 +157,7 @@
     // ---- time
 
     /// Everything that is due: decisions, the next batch, calls to workers and the cloud.
-    pub(super) fn turn(&mut self, net: &mut impl Network, writes: &mut Budget, now: Time) {
+    pub(super) fn turn(&mut self, net: &mut impl Network, writes: &mut RateLimit, now: Time) {
         if now >= self.decide_at {
             self.controller.tick(now, net.time_of_day());
             // However much there is to decide, reports and users get most of the time.
@@ -168,7 +168,7 @@
             self.commit(writes, now);
         }
         for (job, chunk) in self.controller.batcher.take_version_unknown() {
-            let ask = Ask::Get(records::run_key(job, chunk));
+            let ask = StateRequest::Get(records::run_key(job, chunk));
             self.pending.push((
                 Class::Booking,
                 ask,
@@ -191,7 +191,7 @@
         net.now() < self.controller.valid_until
     }
 
-    fn commit(&mut self, writes: &mut Budget, now: Time) {
+    fn commit(&mut self, writes: &mut RateLimit, now: Time) {
         let batcher = &self.controller.batcher;
         if !batcher.is_idle() || now < self.batch_at {
             return;
@@ -212,7 +212,7 @@
             self.batch_at = now.after(self.batch_interval);
             self.pending.push((
                 Class::Booking,
-                Ask::Txn(txn),
+                StateRequest::Txn(txn),
                 BATCH_LIMIT,
                 LeaderRequest::Batch,
             ));
--- a/src/node/leader_locality.rs
+++ b/src/node/leader_locality.rs
@@ -96,7 +96,7 @@
         let action = self.leadership.resign(now);
         if action.is_some() {
             let Reach { heard, known, .. } = reach;
-            log::info!("{heard} of {known} machines are heard here: leadership is transferred");
+            tracing::info!("{heard} of {known} machines are heard here: leadership is transferred");
         }
         self.grant(action);
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,17 +18,17 @@
 use crate::coordination::{Controller, Deposed, Policy};
 use crate::protocol::cloud::{MachineType, MachineTypes};
 use crate::protocol::peers::{self, RelayedRequest};
-use crate::protocol::state::Page;
 use crate::protocol::workers::{Answer, Elsewhere, Report};
 use crate::protocol::{decode, encode};
 use crate::settings::{Settings, Tuning};
 use crate::storage::records::{self, HolderRecord, TermRecord};
-use crate::storage::store::{Ask, Class, Outcome, StateRequestId, Store};
+use crate::storage::store::{Class, Outcome, StateRequest, StateRequestId, Store};
 use crate::transport::{CallId, ConnId, Door, Happening, Network, Request, Response, Transport};
-use crate::types::{seconds, HostName, JobId, Stamp, Term, Time};
+use crate::types::{seconds, HostName, JobId, Term, Time, Version};
 use api::{ApiAction, ApiRequestId, ApiServer, ApiStateRequest, Client, View};
 use heartbeats::PeerLink;
 use leader_duties::{LeaderDuties, LeaderRequest};
+use lichencrank_store::Page;
 
 /// Whose request to the state service it was.
 enum Purpose {
@@ -150,7 +150,7 @@
             .iter()
             .map(|p| PeerLink::new(p.addr))
             .collect();
-        log::info!(
+        tracing::info!(
             "{} in {} listens on {}",
             settings.name,
             settings.zone,
@@ -223,14 +223,14 @@
         if gap < seconds(self.tuning.leader_lease_s) {
             return;
         }
-        log::info!("stood still for {gap:?}");
+        tracing::info!("stood still for {gap:?}");
         if let Some(duties) = &mut self.duties {
             duties.controller.resumed_after_pause();
         }
     }
 
     fn deposed(&mut self, term: Term) {
-        log::info!("deposed: term {term} leads");
+        tracing::info!("deposed: term {term} leads");
         let mut action = self.leadership.heard_of(term, None);
         if action.is_none() && self.leadership.is_leading() {
             action = Some(self.leadership.step_down());
@@ -254,22 +254,24 @@
                 let prefix = records::LEAD.to_owned();
                 (
                     Step::Read,
-                    Ask::List {
+                    StateRequest::List {
                         prefix,
                         after: String::new(),
                         limit: 10,
                     },
                 )
             }
-            LeadershipAction::Grant(ttl) => (Step::Grant, Ask::Grant(ttl)),
-            LeadershipAction::Claim(txn) => (Step::Claim, Ask::Txn(txn)),
-            LeadershipAction::Renew(lease) => (Step::Renew(lease), Ask::Extend(lease)),
-            LeadershipAction::End(lease) => (Step::End, Ask::End(lease)),
+            LeadershipAction::Grant(ttl) => (Step::Grant, StateRequest::Grant(ttl)),
+            LeadershipAction::Claim(txn) => (Step::Claim, StateRequest::Txn(txn)),
+            LeadershipAction::Renew(lease) => (Step::Renew(lease), StateRequest::Extend(lease)),
+            LeadershipAction::End(lease) => (Step::End, StateRequest::End(lease)),
             LeadershipAction::Resign(lease) => {
                 self.duties = None;
-                (Step::End, Ask::End(lease))
+                (Step::End, StateRequest::End(lease))
+            }
+            LeadershipAction::Lead { term, version } => {
+                return self.begin_leading(term, version, now)
             }
-            LeadershipAction::Lead { term, stamp } => return self.begin_leading(term, stamp, now),
             LeadershipAction::StepDown => {
                 self.duties = None;
                 return;
@@ -279,10 +281,10 @@
         self.purposes.insert(id, Purpose::Lead(step, now));
     }
 
-    fn begin_leading(&mut self, term: Term, stamp: Stamp, now: Time) {
+    fn begin_leading(&mut self, term: Term, version: Version, now: Time) {
         let service = &self.settings.settings;
         let rules = Policy::new(service, &self.tuning);
-        let controller = Controller::new(term, stamp, rules, self.types.clone(), now);
+        let controller = Controller::new(term, version, rules, self.types.clone(), now);
         self.duties = Some(LeaderDuties::new(
             controller,
             self.settings.outside.cloud,
@@ -320,7 +322,7 @@
 /// How long turns of the event loop take, in microseconds; kept at the debug level only.
 fn turn_histogram() -> Option<Histogram<u64>> {
     const LONGEST_US: u64 = 60_000_000;
-    let wanted = log::log_enabled!(log::Level::Debug);
+    let wanted = tracing::enabled!(tracing::Level::DEBUG);
     wanted
         .then(|| Histogram::new_with_bounds(1, LONGEST_US, 2).ok())
         .flatten()
@@ -330,9 +332,9 @@
     let mut seen = Seen::default();
     for item in &page.items {
         if item.key == records::HOLDER {
-            seen.holder = item.record::<HolderRecord>().map(|h| (h, item.stamp));
+            seen.holder = item.record::<HolderRecord>().map(|h| (h, item.version));
         } else if item.key == records::TERM {
-            seen.term = item.record::<TermRecord>().map(|t| (t.term, item.stamp));
+            seen.term = item.record::<TermRecord>().map(|t| (t.term, item.version));
         }
     }
     seen
--- a/src/node/peer_messages.rs
+++ b/src/node/peer_messages.rs
@@ -20,7 +20,7 @@
     match peers::encode(message) {
         Ok(body) => Some(net.call(to, "POST", path, &body, timeout)),
         Err(error) => {
-            log::error!("{path} to {to}: {error}");
+            tracing::error!("{path} to {to}: {error}");
             None
         }
     }
@@ -31,7 +31,7 @@
     match peers::encode(message) {
         Ok(body) => Response::new(200, body),
         Err(error) => {
-            log::error!("answer to a peer: {error}");
+            tracing::error!("answer to a peer: {error}");
             Response::new(500, Vec::new())
         }
     }
@@ -39,7 +39,7 @@
 
 /// The response to a request that is not the expected message, such as one of a later version.
 pub(super) fn refusal(path: &str, error: &DecodeError) -> Response {
-    log::info!("{path}: refused: {error}");
+    tracing::info!("{path}: refused: {error}");
     Response::new(400, Vec::new())
 }
 
@@ -52,7 +52,7 @@
     match peers::decode(&response.body) {
         Ok(message) => Some(message),
         Err(error) => {
-            log::info!("answer to {path}: ignored: {error}");
+            tracing::info!("answer to {path}: ignored: {error}");
             None
         }
     }
--- a/src/node/periodic.rs
+++ b/src/node/periodic.rs
@@ -1,6 +1,7 @@
 //! What is due by time, and sending what is ready.
 
 use super::*;
+use lichencrank_store::outcome::RATE_LIMIT_PAUSE;
 
 impl<N: Network> Node<N> {
     pub(super) fn due(&mut self) {
@@ -15,7 +16,7 @@
         }
         if self.types.is_empty() && now >= self.types_due {
             self.types_due = now.after(TYPES_RETRY);
-            let ask = Ask::Get(records::TYPES.to_owned());
+            let ask = StateRequest::Get(records::TYPES.to_owned());
             let id = self.store.ask(now, Class::Booking, ask, LEAD_LIMIT);
             self.purposes.insert(id, Purpose::Types);
         }
@@ -34,7 +35,7 @@
             } else {
                 "does not answer"
             };
-            log::info!("the state service {how}");
+            tracing::info!("the state service {how}");
         }
         if now >= self.locality_at {
             self.locality_at = now.after(LOCALITY_INTERVAL);
@@ -48,19 +49,19 @@
 
     pub(super) fn log_summary(&mut self) {
         let (waiting, oldest) = self.store.backlog(self.net.now());
-        log::debug!("state service: {waiting} requests wait, the oldest for {oldest:?}");
+        tracing::debug!("state service: {waiting} requests wait, the oldest for {oldest:?}");
         let (open, most) = self.net.sockets();
-        log::debug!("sockets: {open} of {most}");
+        tracing::debug!("sockets: {open} of {most}");
         if let Some(duties) = &self.duties {
-            log::info!("{}", duties.controller.summary());
+            tracing::info!("{}", duties.controller.summary());
             if let Some(wait) = duties.controller.longest_wait(self.net.now()) {
-                log::info!("{wait}");
+                tracing::info!("{wait}");
             }
             let (urgent, others) = duties.controller.batcher.backlog();
-            log::debug!("records to write: {urgent} urgent, {others} others");
+            tracing::debug!("records to write: {urgent} urgent, {others} others");
         }
         if let Some(turns) = &mut self.turns {
-            log::debug!(
+            tracing::debug!(
                 "turns: {}, half within {} us, 99% within {} us, at most {} us",
                 turns.len(),
                 turns.value_at_quantile(0.5),
@@ -99,7 +100,12 @@
                     self.store.sent_as(out.id, call);
                 }
                 Err(id) => {
-                    self.on_outcome(id, Outcome::Busy);
+                    self.on_outcome(
+                        id,
+                        Outcome::RateLimited {
+                            retry_after: RATE_LIMIT_PAUSE,
+                        },
+                    );
                     self.flush_front(now);
                 }
             }
@@ -119,7 +125,7 @@
                     ApiAction::Relay(id, relay) => self.relay(id, &relay),
                     ApiAction::InformLeader(job) => self.inform_leader(job),
                     ApiAction::Respond(conn, response) => self.net.respond(conn, &response),
-                    ApiAction::Ask(class, ask, what) => {
+                    ApiAction::StateRequest(class, ask, what) => {
                         // Where nothing is answered another node is asked without much ado.
                         let limit = if self.state_answers(now) {
                             self.store.patience()
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -99,7 +99,7 @@
         let report: Report = match decode(body) {
             Ok(report) => report,
             Err(e) => {
-                log::warn!("a report was not understood: {e}");
+                tracing::warn!("a report was not understood: {e}");
                 return Response::new(400, Vec::new());
             }
         };
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -1,6 +1,5 @@
-//! Records in the state service: their form, the requests for them, budgets and group commit.
+//! Records in the state service: their form, the requests for them, rate limits and group commit.
 
-pub mod budget;
 pub mod record_split;
 pub mod records;
 pub mod store;
--- a/src/storage/record_split.rs
+++ b/src/storage/record_split.rs
@@ -10,8 +10,8 @@
 use super::write_batcher::{Batch, Jobs, WriteBatcher, MAX_BYTES};
 use crate::coordination::jobs::{Chunk, Job, JobPhase, RecordSplit, TaskState};
 use crate::protocol::cloud::MachineType;
-use crate::protocol::state::{value, Change};
-use crate::types::{JobId, Stamp};
+use crate::types::{JobId, Version};
+use lichencrank_store::{value, Change};
 
 /// What a split's transaction will mean once it is written.
 #[derive(Debug)]
@@ -51,12 +51,12 @@
             });
             let tasks: Vec<TaskState> = tasks.map(|t| t.cloned().unwrap_or_default()).collect();
             let before = old.get(number as usize).and_then(Option::as_ref);
-            let stamp = before
-                .map(|c| c.stamp)
+            let version = before
+                .map(|c| c.version)
                 .or(self.beyond.remove(&number))
-                .unwrap_or(Stamp(0));
-            let chunk = Chunk::new(tasks, stamp, changes);
-            let needed = stamp != Stamp(0) || !chunk.is_untouched();
+                .unwrap_or(Version(0));
+            let chunk = Chunk::new(tasks, version, changes);
+            let needed = version != Version(0) || !chunk.is_untouched();
             self.chunks.push(needed.then(|| Box::new(chunk)));
         }
         self.record_split = Some(RecordSplit {
@@ -67,7 +67,7 @@
     }
 
     /// The split is in force, by the description's version.
-    pub fn finish_split(&mut self, live: Stamp) -> Vec<u32> {
+    pub fn finish_split(&mut self, live: Version) -> Vec<u32> {
         let Some(split) = self.record_split.take() else {
             return Vec::new();
         };
@@ -77,7 +77,7 @@
             let number = number as u32;
             let Some(chunk) = slot else { continue };
             if number < split.old_count {
-                chunk.stamp = live;
+                chunk.version = live;
                 chunk.written = split.last.get(&number).copied().unwrap_or(0);
             } else {
                 chunk.written = split.prepared.get(&number).copied().unwrap_or(0);
@@ -132,10 +132,10 @@
             && job.description_size() <= self.max_value
             && job.begin_split(size);
         if fits {
-            log::info!("{}: run records are split into {size} tasks each", job.id);
+            tracing::info!("{}: run records are split into {size} tasks each", job.id);
             self.splitting.insert(job.id);
         } else if self.held.insert(job.id) {
-            log::info!(
+            tracing::info!(
                 "{}: a run record is too large to be written for now",
                 job.id
             );
@@ -199,7 +199,7 @@
                 break;
             }
             let key = records::run_key(job.id, number);
-            batch.txn.require(key.clone(), chunk.stamp);
+            batch.txn.require(key.clone(), chunk.version);
             batch.txn.changes.push(Change::put(key, value(&record)));
             written.push((number, chunk.changes));
         }
@@ -212,7 +212,7 @@
         &mut self,
         jobs: &mut Jobs,
         step: &SplitStep,
-        revision: Stamp,
+        revision: Version,
     ) -> Vec<(JobId, u32)> {
         let Some(job) = jobs.get_mut(&step.job) else {
             return Vec::new();
@@ -222,7 +222,7 @@
         }
         for (number, changes) in &step.written {
             if let Some(chunk) = job.chunk_mut(*number) {
-                chunk.stamp = revision;
+                chunk.version = revision;
             }
             if let Some(split) = &mut job.record_split {
                 split.prepared.insert(*number, *changes);
@@ -232,7 +232,7 @@
     }
 
     /// The description says so, or the answer to the last step.
-    pub fn split_in_force(&mut self, job: &mut Job, live: Stamp) -> Vec<(JobId, u32)> {
+    pub fn split_in_force(&mut self, job: &mut Job, live: Version) -> Vec<(JobId, u32)> {
         if job.record_split.is_none() {
             return Vec::new();
         }
@@ -241,7 +241,7 @@
         for number in job.finish_split(live) {
             self.changed(job.id, number, true);
         }
-        log::info!("{}: its run records are split", job.id);
+        tracing::info!("{}: its run records are split", job.id);
         let numbers = job.chunks.iter().enumerate();
         let written = numbers.filter(|(_, c)| c.is_some());
         written.map(|(n, _)| (job.id, n as u32)).collect()
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -180,10 +180,7 @@
     }
 }
 
-/// The size of a record in the form whose size is limited.
-pub fn size(record: &impl Serialize) -> usize {
-    serde_json::to_vec(record).map_or(usize::MAX, |v| v.len())
-}
+pub use lichencrank_store::json_size as size;
 
 /// How many tasks a chunk holds so that its record stays below the limit with machine names, attempts
 /// and sessions of usual length. One that does not is split further.
--- a/src/storage/store.rs
+++ b/src/storage/store.rs
@@ -1,13 +1,14 @@
-//! Requests to the state service: their order under the budget, and what their answers mean.
+//! Requests to the state service: their order under the rate limits, and which answer belongs to which.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
-use super::budget::Budget;
-use crate::protocol::state::{Applied, Failed, Grant, Granted, Item, News, Page, Txn};
-use crate::protocol::{decode, encode};
+use lichencrank_store::rate_limit::RateLimit;
+use lichencrank_store::request::{HttpRequest, RequestKind};
+pub use lichencrank_store::{Outcome, Request as StateRequest};
+
 use crate::transport::{CallError, CallId, Response};
-use crate::types::{LeaseId, Stamp, Time};
+use crate::types::Time;
 
 /// Who goes first when the budget is short.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -22,77 +23,13 @@
     Read,
 }
 
-/// A request to the state service.
-#[derive(Clone, Debug)]
-pub enum Ask {
-    /// Reads a key.
-    Get(String),
-    /// Reads a page of keys.
-    List {
-        /// Prefix of the keys.
-        prefix: String,
-        /// Begins behind this key.
-        after: String,
-        /// Most items.
-        limit: u32,
-    },
-    /// Carries out a transaction.
-    Txn(Txn),
-    /// Asks for a lease of that length.
-    Grant(Duration),
-    /// Renews a lease.
-    Extend(LeaseId),
-    /// Ends a lease.
-    End(LeaseId),
-    /// Waits for changes.
-    Watch {
-        /// Prefix of the keys.
-        prefix: String,
-        /// Revision after which changes count.
-        after: Stamp,
-        /// How long to wait.
-        hold: Duration,
-    },
-}
-
-/// What became of a request.
-#[derive(Debug)]
-pub enum Outcome {
-    /// The key's item; `None` if it does not exist.
-    Item(Option<Item>),
-    /// A page of keys.
-    Page(Page),
-    /// The transaction was carried out at that revision.
-    Applied(Stamp),
-    /// The versions of these keys differ from the conditions.
-    Conflict(Vec<String>),
-    /// The lease.
-    Granted(LeaseId),
-    /// The lease was renewed or ended.
-    Extended,
-    /// The lease is no more.
-    LeaseGone,
-    /// Changes that a watch brought.
-    News(News),
-    /// The watch began too far back.
-    TooOld,
-    /// Surely not carried out; again later.
-    Refused,
-    /// Surely not carried out, as the budget does not suffice: the service itself is well.
-    Busy,
-    /// May have been carried out, or may yet be.
-    Unknown,
-    /// Refused for what it says; repeating it is of no use.
-    Invalid,
-}
-
 /// Identifies a request to the state service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct StateRequestId(pub u64);
 
 struct Waiting {
     id: StateRequestId,
-    ask: Ask,
+    ask: StateRequest,
     limit: Duration,
     until: Time,
 }
@@ -111,25 +48,15 @@
     pub limit: Duration,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Kind {
-    Get,
-    List,
-    Txn,
-    Grant,
-    Lease,
-    Watch,
-}
-
 /// Queues requests to the state service and reads their answers.
 pub struct Store {
     next: u64,
     turn: u32,
     queues: BTreeMap<Class, VecDeque<Waiting>>,
-    requests: Budget,
+    requests: RateLimit,
     /// The budget of puts and deletes.
-    pub writes: Budget,
-    sent: HashMap<StateRequestId, (Kind, Time)>,
+    pub writes: RateLimit,
+    sent: HashMap<StateRequestId, (RequestKind, Time)>,
     /// The longest that answers took lately, in milliseconds; it fades with each answer.
     slowest: f64,
     calls: HashMap<CallId, StateRequestId>,
@@ -146,75 +73,6 @@
 const MOST_PATIENCE: Duration = Duration::from_millis(1500);
 /// Above this share of the request budget there is some to spare.
 const SPARE: f64 = 0.5;
-/// A 429 means that the nodes together spend too much.
-const PAUSE: Duration = Duration::from_millis(200);
-
-/// A request as it goes out.
-struct Rendered {
-    kind: Kind,
-    method: &'static str,
-    target: String,
-    body: Vec<u8>,
-}
-
-impl Ask {
-    fn render(&self) -> Rendered {
-        match self {
-            Ask::Get(key) => Rendered::bare(Kind::Get, "GET", format!("/kv/{key}")),
-            Ask::List {
-                prefix,
-                after,
-                limit,
-            } => {
-                let mut target = format!("/kv?prefix={prefix}&page={limit}");
-                if !after.is_empty() {
-                    target.push_str("&after=");
-                    target.push_str(after);
-                }
-                Rendered::bare(Kind::List, "GET", target)
-            }
-            Ask::Txn(txn) => Rendered::post(Kind::Txn, "/txn", encode(txn)),
-            Ask::Grant(ttl) => {
-                let ttl_ms = ttl.as_millis() as u64;
-                Rendered::post(Kind::Grant, "/grants", encode(&Grant { ttl_ms }))
-            }
-            Ask::Extend(lease) => {
-                Rendered::bare(Kind::Lease, "POST", format!("/grants/{lease}/extend"))
-            }
-            Ask::End(lease) => Rendered::bare(Kind::Lease, "DELETE", format!("/grants/{lease}")),
-            Ask::Watch {
-                prefix,
-                after,
-                hold,
-            } => {
-                let hold_ms = hold.as_millis();
-                let target = format!("/changes?prefix={prefix}&after={after}&holdMs={hold_ms}");
-                Rendered::bare(Kind::Watch, "GET", target)
-            }
-        }
-    }
-}
-
-impl Rendered {
-    /// Without a body.
-    fn bare(kind: Kind, method: &'static str, target: String) -> Rendered {
-        Rendered {
-            kind,
-            method,
-            target,
-            body: Vec::new(),
-        }
-    }
-
-    fn post(kind: Kind, target: &str, body: Vec<u8>) -> Rendered {
-        Rendered {
-            kind,
-            method: "POST",
-            target: target.to_owned(),
-            body,
-        }
-    }
-}
 
 impl Store {
     /// `rps` and `write_rps` are this node's share of the budgets.
@@ -223,8 +81,8 @@
             next: 0,
             turn: 0,
             queues: BTreeMap::new(),
-            requests: Budget::new(rps, rps),
-            writes: Budget::new(write_rps, write_rps),
+            requests: RateLimit::new(rps, rps),
+            writes: RateLimit::new(write_rps, write_rps),
             sent: HashMap::new(),
             slowest: 0.0,
             calls: HashMap::new(),
@@ -250,7 +108,13 @@
 
     /// Queues a request. `limit` is how long an answer is awaited once it is sent; what can't be
     /// sent within that time is refused.
-    pub fn ask(&mut self, now: Time, class: Class, ask: Ask, limit: Duration) -> StateRequestId {
+    pub fn ask(
+        &mut self,
+        now: Time,
+        class: Class,
+        ask: StateRequest,
+        limit: Duration,
+    ) -> StateRequestId {
         self.next += 1;
         let id = StateRequestId(self.next);
         let until = now.after(limit);
@@ -276,7 +140,7 @@
     ) -> Option<Result<Outgoing, StateRequestId>> {
         for (class, queue) in &mut self.queues {
             let void = |first: &Waiting| {
-                let books = *class == Class::Booking && matches!(first.ask, Ask::Txn(_));
+                let books = *class == Class::Booking && matches!(first.ask, StateRequest::Txn(_));
                 now > first.until || books && !may_book
             };
             if queue.front().is_some_and(void) {
@@ -294,7 +158,7 @@
                 continue;
             };
             let writes = match &first.ask {
-                Ask::Txn(txn) => txn.changes.len() as f64,
+                StateRequest::Txn(txn) => txn.changes.len() as f64,
                 _ => 0.0,
             };
             // The lease may run the account into debt: without it all the rest is lost.
@@ -329,10 +193,10 @@
 
     fn render(&mut self, waiting: Waiting, now: Time) -> Outgoing {
         let held = match &waiting.ask {
-            Ask::Watch { hold, .. } => *hold,
+            StateRequest::Watch { hold, .. } => *hold,
             _ => Duration::ZERO,
         };
-        let Rendered {
+        let HttpRequest {
             kind,
             method,
             target,
@@ -369,7 +233,7 @@
         let (kind, sent) = self.sent.remove(&id)?;
         self.took(now.since(sent), kind, result.is_ok());
         let outcome = self.interpret(now, kind, result);
-        if !matches!(outcome, Outcome::Refused | Outcome::Unknown) {
+        if outcome.is_answer() {
             self.good_at = Some(now);
         }
         Some((id, outcome))
@@ -377,11 +241,11 @@
 
     /// Notes how long an answer took. No answer counts as a slow one, save that of a transaction:
     /// those are lost one by one while all else is quick.
-    fn took(&mut self, time: Duration, kind: Kind, answered: bool) {
+    fn took(&mut self, time: Duration, kind: RequestKind, answered: bool) {
         let tells = if answered {
-            kind != Kind::Watch
+            kind != RequestKind::Watch
         } else {
-            !matches!(kind, Kind::Watch | Kind::Txn)
+            !matches!(kind, RequestKind::Watch | RequestKind::Txn)
         };
         if tells {
             self.slowest = (self.slowest * SLOWEST_KEEP).max(time.as_millis() as f64);
@@ -394,43 +258,21 @@
         usual.clamp(LEAST_PATIENCE, MOST_PATIENCE)
     }
 
-    fn interpret(&mut self, now: Time, kind: Kind, result: Result<Response, CallError>) -> Outcome {
-        let response = match result {
-            Ok(response) => response,
-            Err(CallError::NotSent | CallError::NoSocket) => return Outcome::Refused,
-            Err(CallError::Lost) => return Outcome::Unknown,
-        };
-        let body = &response.body[..];
-        let parsed = match (response.status, kind) {
-            (200, Kind::Get) => decode(body).map(|i| Outcome::Item(Some(i))),
-            (404, Kind::Get) => Ok(Outcome::Item(None)),
-            (200, Kind::List) => decode(body).map(Outcome::Page),
-            (200, Kind::Txn) => decode(body).map(|a: Applied| Outcome::Applied(a.revision)),
-            (409, Kind::Txn) => decode(body).map(|f: Failed| Outcome::Conflict(f.failed)),
-            (200, Kind::Grant) => decode(body).map(|g: Granted| Outcome::Granted(g.lease)),
-            (200, Kind::Lease) => Ok(Outcome::Extended),
-            (404, Kind::Lease) => Ok(Outcome::LeaseGone),
-            (200, Kind::Watch) => decode(body).map(|n: News| Outcome::News(n)),
-            (410, Kind::Watch) => Ok(Outcome::TooOld),
-            (429, _) => {
-                log::debug!("state service: over the budget");
-                self.requests.back_off(now, PAUSE);
-                self.writes.back_off(now, PAUSE);
-                Ok(Outcome::Busy)
-            }
-            (503, _) => Ok(Outcome::Refused),
-            (400, _) => {
-                log::warn!("state service: 400 {}", String::from_utf8_lossy(body));
-                Ok(Outcome::Invalid)
-            }
-            (status, _) => {
-                log::warn!("state service: unexpected status {status}");
-                Ok(Outcome::Unknown)
-            }
+    fn interpret(
+        &mut self,
+        now: Time,
+        kind: RequestKind,
+        result: Result<Response, CallError>,
+    ) -> Outcome {
+        let outcome = match result {
+            Ok(response) => Outcome::read(kind, response.status, &response.body),
+            Err(CallError::NotSent | CallError::NoSocket) => Outcome::Refused,
+            Err(CallError::Lost) => Outcome::Unknown,
         };
-        parsed.unwrap_or_else(|e| {
-            log::warn!("state service: answer not understood: {e}");
-            Outcome::Unknown
-        })
+        if let Outcome::RateLimited { retry_after } = &outcome {
+            self.requests.back_off(now, *retry_after);
+            self.writes.back_off(now, *retry_after);
+        }
+        outcome
     }
 }
--- a/src/storage/write_batcher/mod.rs
+++ b/src/storage/write_batcher/mod.rs
@@ -9,8 +9,8 @@
 use super::record_split::SplitStep;
 use super::records::{self, FinalRecord};
 use crate::coordination::jobs::{Chunk, Job, JobPhase};
-use crate::protocol::state::{value, Change, Txn};
-use crate::types::{JobId, Stamp, Time};
+use crate::types::{JobId, Time, Version};
+use lichencrank_store::{value, Change, Txn};
 
 /// The jobs of a leader.
 pub type Jobs = BTreeMap<JobId, Job>;
@@ -80,7 +80,7 @@
 
 /// Gathers what changed and writes it in one transaction after the other.
 pub struct WriteBatcher {
-    holder: Stamp,
+    holder: Version,
     urgent: VecDeque<(JobId, u32)>,
     normal: VecDeque<(JobId, u32)>,
     queued: BTreeMap<(JobId, u32), bool>,
@@ -102,7 +102,7 @@
 
 impl WriteBatcher {
     /// `holder` is the version of the leader's key, on which every write is conditional.
-    pub fn new(holder: Stamp) -> WriteBatcher {
+    pub fn new(holder: Version) -> WriteBatcher {
         WriteBatcher {
             holder,
             urgent: VecDeque::new(),
@@ -131,7 +131,7 @@
     }
 
     /// The version of the leader's key.
-    pub fn holder(&self) -> Stamp {
+    pub fn holder(&self) -> Version {
         self.holder
     }
 
@@ -165,9 +165,9 @@
     }
 
     /// A record's version is known again.
-    pub fn reread(&mut self, jobs: &mut Jobs, job: JobId, chunk: u32, stamp: Stamp) {
+    pub fn reread(&mut self, jobs: &mut Jobs, job: JobId, chunk: u32, version: Version) {
         if let Some(c) = jobs.get_mut(&job).and_then(|j| j.chunk_mut(chunk)) {
-            c.stamp = stamp;
+            c.version = version;
             c.version_unknown = false;
             self.changed(job, chunk, true);
         }
@@ -363,7 +363,7 @@
             return Ok(());
         };
         // What a cancelled job never had written it needs no record of.
-        if job.phase == JobPhase::Cancelled && chunk.stamp == Stamp(0) {
+        if job.phase == JobPhase::Cancelled && chunk.version == Version(0) {
             return Ok(());
         }
         let size = if record.surely_fits(self.max_value) {
@@ -382,7 +382,7 @@
             batch.txn.require(records::live_key(id), job.live);
         }
         let key = records::run_key(id, number);
-        batch.txn.require(key.clone(), chunk.stamp);
+        batch.txn.require(key.clone(), chunk.version);
         batch.txn.changes.push(Change::put(key, value(&record)));
         batch.chunks.push((id, number, chunk.changes));
         Ok(())
@@ -421,7 +421,7 @@
                 let number = number as u32;
                 let known = chunk
                     .as_ref()
-                    .is_some_and(|c| c.stamp != Stamp(0) || c.version_unknown);
+                    .is_some_and(|c| c.version != Version(0) || c.version_unknown);
                 if known {
                     if batch.txn.changes.len() >= max {
                         return;
--- a/src/storage/write_batcher/outcomes.rs
+++ b/src/storage/write_batcher/outcomes.rs
@@ -4,7 +4,7 @@
 
 impl WriteBatcher {
     /// The transaction under way was carried out at that revision.
-    pub fn applied(&mut self, jobs: &mut Jobs, revision: Stamp, now: Time) -> Verdict {
+    pub fn applied(&mut self, jobs: &mut Jobs, revision: Version, now: Time) -> Verdict {
         let InFlight::Sent(batch) = std::mem::replace(&mut self.in_flight, InFlight::Idle) else {
             return Verdict::Again;
         };
@@ -14,7 +14,7 @@
         }
         for (id, number, changes) in batch.chunks {
             if let Some(chunk) = jobs.get_mut(&id).and_then(|j| j.chunk_mut(number)) {
-                chunk.stamp = revision;
+                chunk.version = revision;
                 chunk.written = changes;
                 written.chunks.push((id, number));
             }
@@ -50,7 +50,7 @@
     pub(super) fn forget_garbage_collected(&mut self, jobs: &mut Jobs) {
         let swept = |id: &JobId| {
             jobs.get(id).is_none_or(|j| {
-                let unwritten = |c: &Chunk| c.stamp == Stamp(0) && !c.version_unknown;
+                let unwritten = |c: &Chunk| c.version == Version(0) && !c.version_unknown;
                 let moved = j.to_archive.is_none();
                 j.phase == JobPhase::GarbageCollected
                     && moved
@@ -135,7 +135,7 @@
                 .min(largest.saturating_sub(1))
                 .max(LEAST_VALUE);
         }
-        log::info!(
+        tracing::info!(
             "the state service refuses {count} changes, the largest of {largest} bytes: from now on {} and {}",
             self.txn_ops,
             self.max_value
--- a/src/transport/event_loop.rs
+++ b/src/transport/event_loop.rs
@@ -196,7 +196,7 @@
                 Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {}
                 Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
                 Err(e) => {
-                    log::debug!("accept: {e}");
+                    tracing::debug!("accept: {e}");
                     self.make_room();
                     let again = self.now().after(ACCEPT_AGAIN);
                     self.deadlines.set(again, Deadline::Accept(slot));
@@ -226,7 +226,7 @@
             .registry()
             .register(&mut stream, Token(id.slot), interest)
         {
-            log::debug!("register: {e}");
+            tracing::debug!("register: {e}");
             return;
         }
         entry.insert(Socket::Server(Box::new(ServerConn::new(
@@ -440,7 +440,7 @@
                 }
             }
             Err(e) => {
-                log::debug!("connect to {to}: {e}");
+                tracing::debug!("connect to {to}: {e}");
                 self.not_sent(call, CallError::NoSocket);
             }
         }
--- a/src/types.rs
+++ b/src/types.rs
@@ -5,64 +5,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-macro_rules! number {
-    ($(#[$doc:meta])* $name:ident) => {
-        $(#[$doc])*
-        #[derive(
-            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-        )]
-        #[serde(transparent)]
-        pub struct $name(pub u64);
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                self.0.fmt(f)
-            }
-        }
-    };
-}
+use lichencrank_store::number_type;
+pub use lichencrank_store::{LeaseId, Time, Version};
 
-number!(
+number_type!(
     /// The leader's term. It is also the fencing token that workers check.
     Term
 );
-number!(
+number_type!(
     /// A worker's session; a new one begins whenever its lease ran out.
     Session
 );
-number!(
+number_type!(
     /// Orders the messages of one worker session.
     Tick
 );
-number!(
+number_type!(
     /// Which attempt at a task this is; numbers only grow.
     Attempt
 );
-number!(
-    /// The revision at which a key of the state service last changed; 0 means absent.
-    Stamp
-);
-number!(
-    /// A lease of the state service.
-    LeaseId
-);
-
-/// A point on this process's steady clock, in milliseconds since it started.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Time(pub u64);
-
-impl Time {
-    /// This time plus a span.
-    pub fn after(self, span: Duration) -> Time {
-        Time(self.0.saturating_add(span.as_millis() as u64))
-    }
-
-    /// Time passed since `earlier`, zero if that lies ahead.
-    pub fn since(self, earlier: Time) -> Duration {
-        Duration::from_millis(self.0.saturating_sub(earlier.0))
-    }
-}
-
 /// A duration from a settings or protocol number; nonsense becomes zero, not a panic.
 pub fn seconds(s: f64) -> Duration {
     Duration::try_from_secs_f64(s.max(0.0)).unwrap_or(Duration::MAX / 4)
--- a/tests/api.rs
+++ b/tests/api.rs
@@ -6,22 +6,23 @@
 use ciborium::Value;
 use lichencrank::node::api::{ApiAction, ApiServer, ApiStateRequest, Client, View};
 use lichencrank::protocol::cloud::MachineType;
-use lichencrank::protocol::state::{value, Change, Item, Page};
 use lichencrank::protocol::users::JobState;
 use lichencrank::protocol::{decode, encode, Amount};
 use lichencrank::settings::Team;
 use lichencrank::storage::records::{
     self, BookedRecord, FinalRecord, JobRecord, OverRecord, RunRecord,
 };
-use lichencrank::storage::store::{Ask, Outcome};
+use lichencrank::storage::store::{Outcome, StateRequest};
 use lichencrank::transport::ConnId;
-use lichencrank::types::{Attempt, HostName, JobId, Session, Stamp, Time};
+use lichencrank::types::{Attempt, HostName, JobId, Session, Time, Version};
+use lichencrank_store::outcome::RATE_LIMIT_PAUSE;
+use lichencrank_store::{value, Change, Item, Page};
 
 /// A node's front, and what it asked and answered so far.
 struct Desk {
     api: ApiServer,
     next: u64,
-    asked: Vec<(Ask, ApiStateRequest)>,
+    asked: Vec<(StateRequest, ApiStateRequest)>,
     answers: BTreeMap<u64, (u16, String)>,
     relays: usize,
     /// Cancelled jobs that the leader is asked to take in hand.
@@ -114,7 +115,7 @@
         self.api.pump();
         for act in self.api.take_acts() {
             match act {
-                ApiAction::Ask(_, ask, what) => self.asked.push((ask, what)),
+                ApiAction::StateRequest(_, ask, what) => self.asked.push((ask, what)),
                 ApiAction::Respond(conn, response) => {
                     let fields: BTreeMap<String, Value> =
                         decode(&response.body).unwrap_or_default();
@@ -151,7 +152,7 @@
     }
 
     /// Accepts these jobs, all at the same version.
-    fn accept(&mut self, jobs: std::ops::Range<u64>, stamp: u64) {
+    fn accept(&mut self, jobs: std::ops::Range<u64>, version: u64) {
         for job in jobs {
             let client = self.client();
             let body = description(job);
@@ -159,7 +160,7 @@
             self.pump();
         }
         while !self.asked.is_empty() {
-            self.reply(Outcome::Applied(Stamp(stamp)));
+            self.reply(Outcome::Committed(Version(version)));
         }
         assert!(self.answers.values().all(|(status, _)| *status == 201));
         self.answers.clear();
@@ -167,7 +168,7 @@
 
     fn compared(&self, at: usize) -> usize {
         match &self.asked[at].0 {
-            Ask::Txn(txn) if txn.changes.is_empty() => txn.conditions.len(),
+            StateRequest::Txn(txn) if txn.changes.is_empty() => txn.conditions.len(),
             other => panic!("{other:?} is no comparison"),
         }
     }
@@ -186,12 +187,12 @@
         .collect();
     // One that began before the others arrived, and says nothing of them.
     assert_eq!((desk.asked.len(), desk.compared(0)), (1, 1));
-    desk.reply(Outcome::Applied(Stamp(9)));
+    desk.reply(Outcome::Committed(Version(9)));
     assert_eq!(desk.answers.len(), 1);
     assert_eq!(desk.answers[&first], (200, "queued".into()));
     // The rest share one.
     assert_eq!((desk.asked.len(), desk.compared(0)), (1, 60));
-    desk.reply(Outcome::Applied(Stamp(9)));
+    desk.reply(Outcome::Committed(Version(9)));
     let told = asked.iter().filter(|id| desk.answers[*id].0 == 200).count();
     assert!(told == 360, "{told} were told");
     assert_eq!(desk.answers.len(), 361);
@@ -205,7 +206,7 @@
     let mut desk = Desk::new();
     // A few are read one by one.
     let alone = desk.poll(1);
-    assert!(matches!(&desk.asked[0].0, Ask::Get(key) if key == "live/job-000001"));
+    assert!(matches!(&desk.asked[0].0, StateRequest::Get(key) if key == "live/job-000001"));
     desk.reply(Outcome::Item(None));
     desk.reply(Outcome::Item(None));
     assert_eq!(desk.answers[&alone].0, 404);
@@ -221,20 +222,22 @@
     let item = |job: u64, value: Value| Item {
         key: format!("live/{}", name(job)),
         value,
-        stamp: Stamp(7),
+        version: Version(7),
     };
     let page = |items: Vec<Item>, more: bool| {
         Outcome::Page(Page {
             items,
             more,
-            revision: Stamp(9),
+            revision: Version(9),
         })
     };
     assert_eq!(desk.asked.len(), 1);
-    assert!(matches!(&desk.asked[0].0, Ask::List { after, .. } if after.is_empty()));
+    assert!(matches!(&desk.asked[0].0, StateRequest::List { after, .. } if after.is_empty()));
     let first = (1..20).map(|job| item(job, Value::Map(Vec::new())));
     desk.reply(page(first.collect(), true));
-    assert!(matches!(&desk.asked[0].0, Ask::List { after, .. } if after == "live/job-000019"));
+    assert!(
+        matches!(&desk.asked[0].0, StateRequest::List { after, .. } if after == "live/job-000019")
+    );
     // One has its final state in place; the last is no longer there, and its final state is read.
     let over = OverRecord {
         state: JobState::Done,
@@ -245,7 +248,7 @@
         .collect();
     second.push(item(29, value(&FinalRecord { over })));
     desk.reply(page(second, false));
-    assert!(matches!(&desk.asked[0].0, Ask::Get(key) if key == "over/job-000030"));
+    assert!(matches!(&desk.asked[0].0, StateRequest::Get(key) if key == "over/job-000030"));
     desk.reply(Outcome::Item(None));
     let told: Vec<&str> = asked.iter().map(|id| desk.answers[id].1.as_str()).collect();
     assert!(told[..28].iter().all(|state| *state == "queued"));
@@ -263,7 +266,7 @@
     desk.accept(1..4, 7);
     let blocking = desk.poll(3);
     let (one, two) = (desk.poll(1), desk.poll(2));
-    desk.reply(Outcome::Applied(Stamp(9)));
+    desk.reply(Outcome::Committed(Version(9)));
     assert_eq!(desk.answers[&blocking].0, 200);
     desk.reply(Outcome::Conflict(vec!["live/job-000001".into()]));
     assert!(!desk.answers.contains_key(&one) && !desk.answers.contains_key(&two));
@@ -272,15 +275,15 @@
         state: JobState::Done,
         tasks: 4,
     };
-    assert!(matches!(&desk.asked[0].0, Ask::Get(key) if key == "live/job-000001"));
+    assert!(matches!(&desk.asked[0].0, StateRequest::Get(key) if key == "live/job-000001"));
     desk.reply(Outcome::Item(Some(Item {
         key: "live/job-000001".into(),
         value: value(&FinalRecord { over }),
-        stamp: Stamp(8),
+        version: Version(8),
     })));
     assert_eq!(desk.answers[&one], (200, "done".into()));
     assert_eq!(desk.compared(0), 1);
-    desk.reply(Outcome::Applied(Stamp(9)));
+    desk.reply(Outcome::Committed(Version(9)));
     assert_eq!(desk.answers[&two], (200, "queued".into()));
     // Done is for ever: that needs no question any more.
     let again = desk.poll(1);
@@ -297,11 +300,15 @@
     let user = desk.poll(1);
     for _ in 0..3 {
         desk.now = desk.now.after(Duration::from_millis(400));
-        desk.reply(Outcome::Busy);
+        desk.reply(Outcome::RateLimited {
+            retry_after: RATE_LIMIT_PAUSE,
+        });
         assert!(desk.answers.is_empty() && desk.relays == 0);
     }
     desk.now = desk.now.after(Duration::from_millis(450));
-    desk.reply(Outcome::Busy);
+    desk.reply(Outcome::RateLimited {
+        retry_after: RATE_LIMIT_PAUSE,
+    });
     assert_eq!(desk.answers[&user].0, 503);
 }
 
@@ -314,10 +321,10 @@
         .submit(client, &description(5), &types(), 1000, desk.now);
     desk.pump();
     desk.reply(Outcome::Unknown);
-    assert!(matches!(&desk.asked[0].0, Ask::Txn(txn) if txn.changes.len() == 1));
+    assert!(matches!(&desk.asked[0].0, StateRequest::Txn(txn) if txn.changes.len() == 1));
     // The first was carried out after all.
     desk.reply(Outcome::Conflict(vec!["live/job-000005".into()]));
-    assert!(matches!(&desk.asked[0].0, Ask::Get(key) if key == "live/job-000005"));
+    assert!(matches!(&desk.asked[0].0, StateRequest::Get(key) if key == "live/job-000005"));
     desk.reply(Outcome::Unknown);
     assert_eq!((desk.asked.len(), desk.relays), (0, 1));
 
@@ -335,8 +342,8 @@
     desk.accept(1..2, 7);
     desk.spare = true;
     let user = desk.poll(1);
-    desk.reply(Outcome::Applied(Stamp(9)));
-    assert!(matches!(&desk.asked[0].0, Ask::Get(key) if key == "run/job-000001/00000"));
+    desk.reply(Outcome::Committed(Version(9)));
+    assert!(matches!(&desk.asked[0].0, StateRequest::Get(key) if key == "run/job-000001/00000"));
     desk.reply(Outcome::Refused);
     assert_eq!(desk.answers[&user], (200, "queued".into()));
 }
@@ -350,9 +357,9 @@
         self.reply(Outcome::Item(Some(Item {
             key: format!("live/{}", name(job)),
             value: Value::Map(Vec::new()),
-            stamp: Stamp(7),
+            version: Version(7),
         })));
-        self.reply(Outcome::Applied(Stamp(8)));
+        self.reply(Outcome::Committed(Version(8)));
         client.conn.serial
     }
 
@@ -396,16 +403,18 @@
                 booked,
                 ..RunRecord::default()
             }),
-            stamp: Stamp(9),
+            version: Version(9),
         }];
         Outcome::Page(Page {
             items,
             more: false,
-            revision: Stamp(9),
+            revision: Version(9),
         })
     };
     let one = vec![(0, Attempt(1), HostName::new("vm-1"), Session(1))];
-    assert!(matches!(&desk.asked[0].0, Ask::List { prefix, .. } if prefix == "run/job-000001/"));
+    assert!(
+        matches!(&desk.asked[0].0, StateRequest::List { prefix, .. } if prefix == "run/job-000001/")
+    );
     desk.reply(bookings(one.clone()));
     assert_eq!(desk.answers[&user].0, 503);
     // Nor by a poll, nor by a repeated submission.
@@ -419,7 +428,7 @@
         Outcome::Item(Some(Item {
             key: "over/job-000001".into(),
             value: value(&over),
-            stamp: Stamp(8),
+            version: Version(8),
         }))
     };
     desk.reply(Outcome::Item(None));
@@ -447,7 +456,7 @@
     desk.cancel(1);
     desk.leader_says(1, true);
     desk.asked.push(compared);
-    desk.reply(Outcome::Applied(Stamp(7)));
+    desk.reply(Outcome::Committed(Version(7)));
     assert_eq!(desk.answers[&polled], (200, "cancelled".into()));
 
     // Nor is "never accepted" after the job was accepted here.
@@ -459,7 +468,7 @@
     desk.asked.push(over);
     desk.reply(Outcome::Item(None));
     assert!(!desk.answers.contains_key(&polled));
-    assert!(matches!(&desk.asked[0].0, Ask::Get(key) if key == "live/job-000002"));
+    assert!(matches!(&desk.asked[0].0, StateRequest::Get(key) if key == "live/job-000002"));
 }
 
 /// Where values may only be small, a description that names many machine types is kept without those
@@ -478,7 +487,7 @@
     let body = encode(&body);
     desk.api.submit(client, &body, &types(), 1000, desk.now);
     desk.pump();
-    let Ask::Txn(txn) = &desk.asked[0].0 else {
+    let StateRequest::Txn(txn) = &desk.asked[0].0 else {
         panic!("{:?}", desk.asked[0].0);
     };
     let Change::Put { value, .. } = &txn.changes[0] else {
@@ -487,7 +496,7 @@
     let record: JobRecord = value.deserialized().expect("a description");
     assert!(records::size(&record) <= 2048);
     assert_eq!(record.spec.types, Some(vec!["small".to_owned()]));
-    desk.reply(Outcome::Applied(Stamp(7)));
+    desk.reply(Outcome::Committed(Version(7)));
     assert_eq!(desk.answers[&client.conn.serial].0, 201);
 }
 
@@ -516,11 +525,11 @@
         desk.api.submit(client, &body, &types(), 1000, desk.now);
         desk.pump();
         // Whether it is known already is looked up first.
-        if matches!(desk.asked[0].0, Ask::Get(_)) {
+        if matches!(desk.asked[0].0, StateRequest::Get(_)) {
             desk.reply(Outcome::Item(None));
             desk.reply(Outcome::Item(None));
         } else {
-            desk.reply(Outcome::Applied(Stamp(7)));
+            desk.reply(Outcome::Committed(Version(7)));
         }
         desk.answers[&client.conn.serial].0
     };
--- a/tests/budget.rs
+++ b/tests/budget.rs
@@ -4,18 +4,18 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use lichencrank::protocol::state::{Change, Txn};
-use lichencrank::storage::budget::share_of;
-use lichencrank::storage::store::{Ask, Class, StateRequestId, Store};
+use lichencrank::storage::store::{Class, StateRequest, StateRequestId, Store};
 use lichencrank::transport::{CallError, CallId, Response};
 use lichencrank::types::{LeaseId, Time};
+use lichencrank_store::rate_limit::share_of;
+use lichencrank_store::{Change, Txn};
 
-fn write(changes: usize) -> Ask {
+fn write(changes: usize) -> StateRequest {
     let mut txn = Txn::default();
     for number in 0..changes {
         txn.changes.push(Change::delete(format!("k/{number}")));
     }
-    Ask::Txn(txn)
+    StateRequest::Txn(txn)
 }
 
 /// Plays ten seconds with the given arrivals every 100 ms; returns how long each request of the
@@ -32,8 +32,8 @@
                 }
             }
             let ask = match watched {
-                Class::Lease => Ask::Extend(LeaseId(1)),
-                _ => Ask::Get("live/job-000001".into()),
+                Class::Lease => StateRequest::Extend(LeaseId(1)),
+                _ => StateRequest::Get("live/job-000001".into()),
             };
             asked.insert(store.ask(Time(now), watched, ask, limit), now);
         }
@@ -74,7 +74,7 @@
         store.ask(
             Time(now),
             Class::Read,
-            Ask::Get("types".into()),
+            StateRequest::Get("types".into()),
             Duration::from_secs(2),
         );
     }
@@ -147,7 +147,7 @@
 fn patience_follows_what_answers_take() {
     let mut store = Store::new(1000.0, 1000.0);
     let mut serial = 0;
-    let mut play = |store: &mut Store, ask: Ask, took: u64, lost: bool| {
+    let mut play = |store: &mut Store, ask: StateRequest, took: u64, lost: bool| {
         serial += 1;
         let at = Time(serial * 10_000);
         store.ask(at, Class::Read, ask, Duration::from_secs(2));
@@ -162,7 +162,7 @@
         };
         store.answered(Time(at.0 + took), CallId(serial), answer);
     };
-    let get = || Ask::Get("types".into());
+    let get = || StateRequest::Get("types".into());
     let usual = store.patience();
     for _ in 0..5 {
         play(&mut store, get(), 8, false);
--- a/tests/leadership.rs
+++ b/tests/leadership.rs
@@ -5,7 +5,8 @@
 use lichencrank::coordination::leadership::{Leadership, LeadershipAction, Role, Seen, Step};
 use lichencrank::storage::records::HolderRecord;
 use lichencrank::storage::store::Outcome;
-use lichencrank::types::{LeaseId, Stamp, Term, Time};
+use lichencrank::types::{LeaseId, Term, Time, Version};
+use lichencrank_store::outcome::RATE_LIMIT_PAUSE;
 
 const TTL: Duration = Duration::from_secs(3);
 
@@ -21,15 +22,15 @@
         term: Term(term),
     };
     Some(Seen {
-        holder: Some((holder, Stamp(40))),
-        term: Some((Term(term), Stamp(40))),
+        holder: Some((holder, Version(40))),
+        term: Some((Term(term), Version(40))),
     })
 }
 
 fn free(term: u64) -> Option<Seen> {
     Some(Seen {
         holder: None,
-        term: Some((Term(term), Stamp(40))),
+        term: Some((Term(term), Version(40))),
     })
 }
 
@@ -46,12 +47,12 @@
         l.on_outcome(Step::Grant, granted, now, now),
         Some(LeadershipAction::Claim(_))
     ));
-    let won = l.on_outcome(Step::Claim, Outcome::Applied(Stamp(50)), now, now);
+    let won = l.on_outcome(Step::Claim, Outcome::Committed(Version(50)), now, now);
     assert_eq!(
         won,
         Some(LeadershipAction::Lead {
             term: Term(4),
-            stamp: Stamp(50)
+            version: Version(50)
         })
     );
     l
@@ -69,7 +70,7 @@
     let conditions: Vec<(&str, u64)> = txn
         .conditions
         .iter()
-        .map(|c| (c.key.as_str(), c.stamp.0))
+        .map(|c| (c.key.as_str(), c.version.0))
         .collect();
     assert_eq!(conditions, [("lead/holder", 0), ("lead/term", 40)]);
     assert_eq!(txn.changes.len(), 2);
@@ -158,7 +159,7 @@
     l.on_read(free(4), Time(900), Time(900));
     let next = Role::Granting {
         term: Term(5),
-        term_stamp: Stamp(40),
+        term_version: Version(40),
     };
     assert_eq!(l.role, next);
 }
@@ -174,20 +175,20 @@
     };
     l.on_outcome(Step::Claim, Outcome::Unknown, Time(0), Time(900));
     assert_eq!(l.role, Role::Following);
-    let lichencrank::protocol::state::Change::Put { value, .. } = &txn.changes[0] else {
+    let lichencrank_store::Change::Put { value, .. } = &txn.changes[0] else {
         panic!("the holder's record comes first")
     };
     let holder: HolderRecord = value.deserialized().expect("a holder's record");
     let seen = Seen {
-        holder: Some((holder, Stamp(44))),
-        term: Some((Term(4), Stamp(44))),
+        holder: Some((holder, Version(44))),
+        term: Some((Term(4), Version(44))),
     };
     let action = l.on_read(Some(seen), Time(1000), Time(1000));
     assert_eq!(
         action,
         Some(LeadershipAction::Lead {
             term: Term(4),
-            stamp: Stamp(44)
+            version: Version(44)
         })
     );
     // Nobody knows any more when the lease was granted, so it has to be renewed before it counts.
@@ -282,7 +283,14 @@
         Some(LeadershipAction::Renew(LeaseId(9)))
     );
     let renewal = Step::Renew(LeaseId(9));
-    l.on_outcome(renewal, Outcome::Busy, Time(1000), Time(1010));
+    l.on_outcome(
+        renewal,
+        Outcome::RateLimited {
+            retry_after: RATE_LIMIT_PAUSE,
+        },
+        Time(1000),
+        Time(1010),
+    );
     assert_eq!(l.tick(Time(1100)), None);
     assert_eq!(
         l.tick(Time(1210)),
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -14,7 +14,7 @@
 use lichencrank::protocol::Amount;
 use lichencrank::settings::{Team, Tuning};
 use lichencrank::storage::records::JobRecord;
-use lichencrank::types::{HostName, JobId, Session, Stamp, Term, Tick, Time};
+use lichencrank::types::{HostName, JobId, Session, Term, Tick, Time, Version};
 
 const TERM: Term = Term(3);
 
@@ -130,7 +130,7 @@
     let mut placed = 0;
     for seed in 0..40 {
         let mut random = fastrand::Rng::with_seed(seed);
-        let mut c = Controller::new(TERM, Stamp(1), rules(), types(), Time(0));
+        let mut c = Controller::new(TERM, Version(1), rules(), types(), Time(0));
         c.on_loaded(Time(0));
         c.tick(Time(5000), 5000);
         let mut machines = BTreeMap::new();
@@ -168,7 +168,7 @@
                 at_ms: 5000,
                 chunk: 16,
             };
-            c.on_job(record.clone(), Stamp(10 + number));
+            c.on_job(record.clone(), Version(10 + number));
             records.push(record);
         }
         c.valid_until = Time(u64::MAX);
--- a/tests/record_split.rs
+++ b/tests/record_split.rs
@@ -1,27 +1,22 @@
 //! Run records that the version in production left larger than the limits of later allow are split in
 //! steps. After each step a take-over, by either version, finds every booking and attempt.
 
-#[path = "standin/state.rs"]
-mod state;
-#[path = "standin/values.rs"]
-mod values;
-
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use ciborium::Value;
 use lichencrank::coordination::{Controller, Policy};
 use lichencrank::protocol::cloud::MachineType;
-use lichencrank::protocol::state::value;
 use lichencrank::protocol::users::{JobSpec, Priority, Shape};
 use lichencrank::protocol::workers::{Cause, Report, TaskReport, TaskState};
 use lichencrank::protocol::Amount;
 use lichencrank::settings::{Team, Tuning};
 use lichencrank::storage::records::{self, JobRecord, RunRecord};
 use lichencrank::storage::write_batcher::Verdict;
-use lichencrank::types::{Attempt, HostName, JobId, Session, Stamp, TaskId, Term, Tick, Time};
-use state::{Limits, State};
-use values::{get, map, number, text};
+use lichencrank::types::{Attempt, HostName, JobId, Session, TaskId, Term, Tick, Time, Version};
+use lichencrank_store::value;
+use lichencrank_testkit::state_service::{Limits, StateService};
+use lichencrank_testkit::values::{self, get, map, number, text};
 
 const JOB: JobId = JobId(1);
 const TASKS: u32 = 600;
@@ -65,8 +60,8 @@
 }
 
 /// What production left: two records of 256 tasks, most of them booked, some tried; the rest untouched.
-fn left_behind() -> State {
-    let mut state = State::new(Limits {
+fn left_behind() -> StateService {
+    let mut state = StateService::new(Limits {
         value_bytes: 16 * 1024,
         txn_ops: 16,
     });
@@ -133,7 +128,7 @@
     }
 }
 
-fn items(state: &mut State, prefix: &str) -> Vec<(String, Value, u64)> {
+fn items(state: &mut StateService, prefix: &str) -> Vec<(String, Value, u64)> {
     let target = format!("/kv?prefix={prefix}&page=1000");
     let (_, page) = state.handle(0, "GET", &target, &Value::Null);
     let pairs = values::list(&page, "pairs").iter();
@@ -145,7 +140,7 @@
 }
 
 /// A new leader of this version reads the records.
-fn take_over(state: &mut State) -> Controller {
+fn take_over(state: &mut StateService) -> Controller {
     let types = vec![MachineType {
         name: "c4".into(),
         cpus: Amount(4.0),
@@ -159,16 +154,16 @@
         zones: vec!["a".into()],
     }];
     let holder = items(state, "lead/holder")[0].2;
-    let mut controller = Controller::new(Term(5), Stamp(holder), rules(), types, NOW);
+    let mut controller = Controller::new(Term(5), Version(holder), rules(), types, NOW);
     controller.valid_until = Time(u64::MAX);
-    for (_, data, stamp) in items(state, "live/") {
+    for (_, data, version) in items(state, "live/") {
         let record: JobRecord = data.deserialized().expect("a description");
-        controller.on_job(record, Stamp(stamp));
+        controller.on_job(record, Version(version));
     }
-    for (key, data, stamp) in items(state, "run/") {
+    for (key, data, version) in items(state, "run/") {
         let (job, number) = records::parse_run(&key).expect("a run record");
         let record: RunRecord = data.deserialized().expect("a run record");
-        controller.on_run_record(job, number, &record, Stamp(stamp), NOW);
+        controller.on_run_record(job, number, &record, Version(version), NOW);
     }
     controller.on_loaded(NOW);
     controller
@@ -191,7 +186,7 @@
 }
 
 /// What production would read: the description's size says which records are in force.
-fn picture_of_production(state: &mut State) -> Picture {
+fn picture_of_production(state: &mut StateService) -> Picture {
     let description: JobRecord = items(state, "live/")[0].1.deserialized().expect("one");
     let mut picture = Picture::new();
     for (key, data, _) in items(state, "run/") {
@@ -243,7 +238,7 @@
 }
 
 /// Writes the next batch, if there is one; nothing may ever be refused.
-fn step(controller: &mut Controller, state: &mut State) -> bool {
+fn step(controller: &mut Controller, state: &mut StateService) -> bool {
     // A record that turns out too large is split from the next batch on.
     let batch = controller.next_batch(5, true);
     let batch = batch.or_else(|| controller.next_batch(5, true));
@@ -252,7 +247,7 @@
     };
     let (status, answer) = state.txn(&value(&txn));
     assert_eq!(status, 200, "{answer:?}");
-    let revision = Stamp(number(&answer, "ledgerRev"));
+    let revision = Version(number(&answer, "ledgerRev"));
     let Controller { batcher, jobs, .. } = controller;
     let verdict = batcher.applied(jobs, revision, NOW);
     assert!(matches!(verdict, Verdict::Written(_)));
--- a/tests/simulated/cloud.rs
+++ b/tests/simulated/cloud.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 
 use super::script::Site;
-use super::values::map;
 use super::worker::Worker;
+use lichencrank_testkit::values::map;
 
 pub struct Machine {
     described: Vec<(&'static str, Value)>,
--- a/tests/simulated/mod.rs
+++ b/tests/simulated/mod.rs
@@ -8,12 +8,8 @@
 pub mod process;
 mod rollout;
 pub mod script;
-#[path = "../standin/state.rs"]
-mod state;
 mod troubles;
 mod users;
-#[path = "../standin/values.rs"]
-mod values;
 pub mod worker;
 
 use ciborium::Value;
@@ -26,13 +22,13 @@
 
 use checker::{Checker, Fact, Rules};
 use cloud::Cloud;
+use lichencrank_testkit::state_service::{self, hold_ms, Limits, StateService};
+use lichencrank_testkit::values::{self, get, number, text};
 use network::{Call, Out, SimNet};
 use process::{Launcher, Process, Start, Version};
 use rollout::UpgradeOrder;
 use script::{Script, Site};
-use state::{hold_ms, Limits, State};
 use users::Users;
-use values::{get, number, text};
 use worker::{Deed, Worker};
 
 /// A call of a node: which node, which of its processes, which call.
@@ -176,7 +172,7 @@
     serial: u64,
     site: Site,
     slots: Vec<Slot>,
-    state: State,
+    state: StateService,
     requests: Bucket,
     writes: Bucket,
     watches: Vec<Watch>,
@@ -221,7 +217,7 @@
             events: BTreeMap::new(),
             serial: 0,
             slots: Vec::new(),
-            state: State::new(Limits {
+            state: StateService::new(Limits {
                 value_bytes: (site.value_kb * 1024.0) as usize,
                 txn_ops: site.txn_ops,
             }),
@@ -700,7 +696,7 @@
         self.note(format!(
             "state service: 400 to node {node}: {target}: {error}"
         ));
-        let late_claim = error == state::NO_SUCH_LEASE && carried == Carried::Silently;
+        let late_claim = error == state_service::NO_SUCH_LEASE && carried == Carried::Silently;
         self.mark(if late_claim {
             "late-claim"
         } else {
--- a/tests/simulated/script.rs
+++ b/tests/simulated/script.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 
 use super::rollout::UpgradeOrder;
-use super::values::map;
 use super::Side;
+use lichencrank_testkit::values::map;
 
 pub const STATE: &str = "10.2.0.1:2379";
 pub const CLOUD: &str = "10.2.0.2:8443";
--- a/tests/simulated/users.rs
+++ b/tests/simulated/users.rs
@@ -7,8 +7,8 @@
 
 use super::checker::{Asked, Fact, Said};
 use super::script::Shape;
-use super::values::{map, text};
 use super::{Event, Origin, Side, World};
+use lichencrank_testkit::values::{map, text};
 
 pub enum Step {
     Ask {
@@ -22,7 +22,7 @@
     Limit(u64),
 }
 
-struct Ask {
+struct UserRequest {
     job: u64,
     asked: Asked,
     node: usize,
@@ -47,7 +47,7 @@
 #[derive(Default)]
 pub struct Users {
     pub(super) jobs: BTreeMap<u64, UserJob>,
-    asks: BTreeMap<u64, Ask>,
+    asks: BTreeMap<u64, UserRequest>,
     next_ask: u64,
     pub(super) next_job: u64,
     pub(super) looks: u64,
@@ -197,7 +197,7 @@
         };
         self.users.asks.insert(
             id,
-            Ask {
+            UserRequest {
                 job,
                 asked,
                 node: to.unwrap_or(0),
--- a/tests/simulated/worker.rs
+++ b/tests/simulated/worker.rs
@@ -2,8 +2,8 @@
 
 use ciborium::Value;
 
-use super::values::{list, map, number, text};
 use super::CallRef;
+use lichencrank_testkit::values::{list, map, number, text};
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum State {
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -7,13 +7,13 @@
 use ciborium::Value;
 use lichencrank::coordination::{Action, CommandResult, Controller, Policy};
 use lichencrank::protocol::cloud::MachineType;
-use lichencrank::protocol::state::{Change, Item, Txn};
 use lichencrank::protocol::users::{JobSpec, Priority, Shape};
 use lichencrank::protocol::workers::{Cause, Order, Report, TaskReport, TaskState};
 use lichencrank::protocol::Amount;
 use lichencrank::settings::{Team, Tuning};
 use lichencrank::storage::records::{self, JobRecord};
-use lichencrank::types::{Attempt, HostName, JobId, Session, Stamp, TaskId, Term, Tick, Time};
+use lichencrank::types::{Attempt, HostName, JobId, Session, TaskId, Term, Tick, Time, Version};
+use lichencrank_store::{Change, Item, Txn};
 
 const TASKS: u64 = 100_000;
 const VALUE_KB: f64 = 16.0;
@@ -150,7 +150,7 @@
 #[derive(Default)]
 struct Kept {
     revision: u64,
-    items: BTreeMap<String, (Value, Stamp)>,
+    items: BTreeMap<String, (Value, Version)>,
 }
 
 fn size(value: &impl serde::Serialize) -> usize {
@@ -158,48 +158,52 @@
 }
 
 impl Kept {
-    fn apply(&mut self, txn: &Txn) -> Stamp {
+    fn apply(&mut self, txn: &Txn) -> Version {
         assert!(size(txn) <= 64 * 1024, "{} bytes", size(txn));
         assert!(txn.changes.len() <= TXN_OPS, "{}", txn.changes.len());
         assert!(txn.conditions.len() <= 4 * TXN_OPS);
         for condition in &txn.conditions {
             let there = self.items.get(&condition.key);
-            let stamp = there.map_or(Stamp(0), |(_, stamp)| *stamp);
-            assert_eq!(stamp, condition.stamp, "{}", condition.key);
+            let version = there.map_or(Version(0), |(_, version)| *version);
+            assert_eq!(version, condition.version, "{}", condition.key);
         }
         self.revision += 1;
-        let stamp = Stamp(self.revision);
+        let version = Version(self.revision);
         for change in &txn.changes {
             match change {
                 Change::Put { key, value, .. } => {
                     assert!(size(value) <= (VALUE_KB * 1024.0) as usize, "{key}");
-                    self.items.insert(key.clone(), (value.clone(), stamp));
+                    self.items.insert(key.clone(), (value.clone(), version));
                 }
                 Change::Delete { key } => {
                     self.items.remove(key);
                 }
             }
         }
-        stamp
+        version
     }
 
     fn begin_leading(&mut self, term: Term, now: Time) -> Controller {
-        let holder = (Value::Null, Stamp(term.0));
+        let holder = (Value::Null, Version(term.0));
         self.items.insert(records::HOLDER.to_owned(), holder);
-        let mut c = Controller::new(term, Stamp(term.0), rules(), types(), now);
+        let mut c = Controller::new(term, Version(term.0), rules(), types(), now);
         c.valid_until = Time(u64::MAX);
-        for (key, (value, stamp)) in &self.items {
-            let (key, value, stamp) = (key.clone(), value.clone(), *stamp);
-            let item = Item { key, value, stamp };
+        for (key, (value, version)) in &self.items {
+            let (key, value, version) = (key.clone(), value.clone(), *version);
+            let item = Item {
+                key,
+                value,
+                version,
+            };
             if records::parse_live(&item.key).is_some() {
                 assert!(records::over_in_place(&item.value).is_none());
-                c.on_job(item.record().expect("a job"), stamp);
+                c.on_job(item.record().expect("a job"), version);
             }
         }
-        for (key, (value, stamp)) in &self.items {
+        for (key, (value, version)) in &self.items {
             if let Some((job, chunk)) = records::parse_run(key) {
                 let record = value.deserialized().expect("a run record");
-                c.on_run_record(job, chunk, &record, *stamp, now);
+                c.on_run_record(job, chunk, &record, *version, now);
             }
         }
         c.on_loaded(now);
@@ -217,7 +221,7 @@
         conditions: Vec::new(),
         changes: vec![Change::put(
             records::live_key(JOB),
-            lichencrank::protocol::state::value(&record()),
+            lichencrank_store::value(&record()),
         )],
     });
     let mut now = Time(0);
@@ -252,9 +256,9 @@
             let Some(txn) = c.next_batch(TXN_OPS, true) else {
                 break;
             };
-            let stamp = kept.apply(&txn);
+            let version = kept.apply(&txn);
             let Controller { batcher, jobs, .. } = &mut c;
-            let verdict = batcher.applied(jobs, stamp, now);
+            let verdict = batcher.applied(jobs, version, now);
             c.on_verdict(verdict, now).expect("its term");
             for action in c.take_actions() {
                 let Action::Command {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -12,13 +12,13 @@
 use lichencrank::coordination::fleet::RentalResult;
 use lichencrank::coordination::{Action, CommandResult, Controller, Deposed, Policy};
 use lichencrank::protocol::cloud::{ListedHost, ListedStatus, MachineType};
-use lichencrank::protocol::state::Change;
 use lichencrank::protocol::users::{JobSpec, JobState, Priority, Shape};
 use lichencrank::protocol::workers::{Cause, Order, Report, TaskReport, TaskState};
 use lichencrank::protocol::Amount;
 use lichencrank::settings::{Team, Tuning};
 use lichencrank::storage::records::{JobRecord, OverRecord, RunRecord};
-use lichencrank::types::{Attempt, HostName, JobId, Session, Stamp, TaskId, Term, Tick, Time};
+use lichencrank::types::{Attempt, HostName, JobId, Session, TaskId, Term, Tick, Time, Version};
+use lichencrank_store::Change;
 use std::time::Duration;
 
 const TERM: Term = Term(5);
@@ -71,7 +71,7 @@
 struct Replay {
     controller: Controller,
     now: Time,
-    stamp: u64,
+    version: u64,
     out: String,
     /// Direct commands without an answer, by machine.
     commands: BTreeMap<String, (Session, Vec<Order>)>,
@@ -128,12 +128,12 @@
             machine("small", 4.0, 16.0, 0.3, &["a", "b"]),
             machine("big", 16.0, 64.0, 1.2, &["a"]),
         ];
-        let mut controller = Controller::new(TERM, Stamp(1), rules(), types, Time(0));
+        let mut controller = Controller::new(TERM, Version(1), rules(), types, Time(0));
         controller.valid_until = FOREVER;
         Replay {
             controller,
             now: Time(0),
-            stamp: 10,
+            version: 10,
             out: String::new(),
             commands: BTreeMap::new(),
             machines: BTreeMap::new(),
@@ -221,13 +221,13 @@
             save_s: Amount(2.0),
             deadline_s: field("due").map(|d| Amount(d.parse().expect("a number"))),
         };
-        self.stamp += 1;
+        self.version += 1;
         let record = JobRecord {
             spec,
             at_ms: self.now.0,
             chunk: 4,
         };
-        self.controller.on_job(record, Stamp(self.stamp));
+        self.controller.on_job(record, Version(self.version));
     }
 
     /// `vm-1 1/5 token 5: 7/0#1 running, 7/1#1 ended done`
@@ -306,15 +306,15 @@
         let guards: Vec<String> = txn
             .conditions
             .iter()
-            .map(|c| format!("{}={}", c.key, c.stamp))
+            .map(|c| format!("{}={}", c.key, c.version))
             .collect();
         self.say(&format!("if {}", guards.join(" ")));
         let now = self.now;
         let Controller { batcher, jobs, .. } = &mut self.controller;
         let verdict = match how {
             [] => {
-                self.stamp += 1;
-                batcher.applied(jobs, Stamp(self.stamp), now)
+                self.version += 1;
+                batcher.applied(jobs, Version(self.version), now)
             }
             ["lost"] => return batcher.lost(),
             ["refused"] => return batcher.refused(),
@@ -329,7 +329,7 @@
     }
 
     fn run_record(&mut self, words: &[&str]) {
-        // `record 7 0 stamp 9 booked 0#1@vm-1/1 ... done 2`
+        // `record 7 0 version 9 booked 0#1@vm-1/1 ... done 2`
         let mut record = RunRecord {
             size: 4,
             team: "open".into(),
@@ -357,7 +357,7 @@
         }
         let chunk = words[1].parse().expect("a chunk");
         self.controller
-            .on_run_record(id(words[0]), chunk, &record, Stamp(9), self.now);
+            .on_run_record(id(words[0]), chunk, &record, Version(9), self.now);
     }
 
     fn event(&mut self, line: &str) {
@@ -377,7 +377,7 @@
                 let mut rules = rules();
                 rules.records = words[1].parse().expect("a number");
                 let types = std::mem::take(&mut self.controller.types);
-                self.controller = Controller::new(TERM, Stamp(1), rules, types, Time(0));
+                self.controller = Controller::new(TERM, Version(1), rules, types, Time(0));
                 self.controller.valid_until = FOREVER;
             }
             "loaded" => self.controller.on_loaded(now),
@@ -389,7 +389,7 @@
                     tasks: 1,
                 };
                 let id = id(words[1]);
-                self.controller.on_final(id, over, Stamp(9));
+                self.controller.on_final(id, over, Version(9));
             }
             "report" => {
                 let report = self.report(rest);
@@ -418,7 +418,12 @@
             "reread" => {
                 for (job, chunk) in self.controller.batcher.take_version_unknown() {
                     let Controller { batcher, jobs, .. } = &mut self.controller;
-                    batcher.reread(jobs, job, chunk, Stamp(words[1].parse().expect("a stamp")));
+                    batcher.reread(
+                        jobs,
+                        job,
+                        chunk,
+                        Version(words[1].parse().expect("a version")),
+                    );
                 }
             }
             "lease" => {
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -9,13 +9,13 @@
     self, AcknowledgedJobs, CancelledJobs, DecodeError, Heartbeat, RecentCancellation,
     RelayedRequest, RelayedResponse, Spending,
 };
-use lichencrank::protocol::state::value;
 use lichencrank::protocol::{decode, encode};
 use lichencrank::settings::{Settings, Tuning};
 use lichencrank::storage::records::{self, JobRecord, RunRecord};
 use lichencrank::storage::records::{FinalRecord, HolderRecord, OverRecord, TermRecord};
 use lichencrank::transport::{CallId, ConnId, Door, Happening, Network, Request, Response};
 use lichencrank::types::{Attempt, HostName, JobId, Session, Time};
+use lichencrank_store::value;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -6,7 +6,7 @@
 use lichencrank::protocol::{decode, encode, workers};
 use lichencrank::storage::records::JobRecord;
 use lichencrank::transport::http::{parse_request, parse_response, Malformed, Parsed, MAX_BODY};
-use lichencrank::types::{JobId, Stamp, TaskId};
+use lichencrank::types::{JobId, TaskId, Version};
 
 #[test]
 fn requests() {
@@ -267,7 +267,7 @@
             at_ms: 1000,
             chunk: 16,
         };
-        assert_eq!(Job::new(record, Stamp(1)).due_ms(), due, "{shape}");
+        assert_eq!(Job::new(record, Version(1)).due_ms(), due, "{shape}");
     }
 }
 
