crates/quota: limits and guarantees lent to holders in allowances, charged in the store

Need: several controllers, or programs that embed the service, admit work of one team at the same instant. A limit is lent in allowances; each admission is a record, written on condition that the allowance still has the version its holder knows. Whoever is given up is fenced by that version first; only then its charges are summed up.

--- /dev/null
+++ b/crates/quota/src/holder/lend.rs
@@ -0,0 +1,182 @@
+//! Asking for a larger allowance, and giving back what others wait for.
+//!
+//! Nobody keeps what it can't use while it waits for more: whoever can't be lent what its first
+//! request needs gives back what it has and queues for all of it. So no two holders, and no two teams,
+//! wait for each other.
+
+use super::cache::Unread;
+use super::operation::{Draft, Effect, Operation};
+use super::Holder;
+use crate::amount::Usage;
+use crate::lending::{lend_amount, set_allowance, NewAllowance};
+use crate::names::{AdmissionId, HolderName, TeamName};
+use crate::records::{AllowanceRecord, Record, RecordKey, TeamRecord};
+
+impl Holder {
+    /// What the allowance needs: more for those that wait, less for others, or nothing.
+    pub(super) fn plan_lending(
+        &mut self,
+        team: &TeamName,
+        record: &TeamRecord,
+    ) -> Result<Option<Operation>, Unread> {
+        let front = self.account(team).waiting.first().map(|p| p.2.clone());
+        match front {
+            Some(front) => self.plan_asking(team, record, &front),
+            None => self.plan_idle(team, record),
+        }
+    }
+
+    /// Somebody waits: the allowance grows if there is room; if not, others learn what is wanted.
+    fn plan_asking(
+        &mut self,
+        team: &TeamName,
+        record: &TeamRecord,
+        front: &AdmissionId,
+    ) -> Result<Option<Operation>, Unread> {
+        let unspent = self.room(team)?;
+        let own = self.config.name.clone();
+        let pool = self.pool()?;
+        let lendable = record.lendable(team, &pool, &own);
+        let usage = self.usage_of(front);
+        let missing = usage.without(&unspent);
+        let granted = self.granted(team)?;
+        if missing.fits(&lendable) {
+            let contended = !record.wanted.is_empty() || !pool.wanted.is_empty();
+            let mut need = missing;
+            if !contended {
+                let all = self.waiting_usage(team).without(&unspent);
+                need = need.at_least(&all.at_most(&lendable));
+            }
+            let more = lend_amount(need, lendable, contended, self.config.holders);
+            let new = NewAllowance {
+                granted: granted + more,
+                wanted: None,
+            };
+            let effect = Effect::Lent {
+                team: team.clone(),
+                usage: unspent.at_most(&usage) + need,
+            };
+            return self.draft_allowance(team, &own, &new, effect).map(Some);
+        }
+        let noted = record.wanted.iter().find(|want| want.holder == own);
+        if unspent.is_zero() && noted.is_some_and(|want| want.usage == usage) {
+            return Ok(None);
+        }
+        let new = NewAllowance {
+            granted: granted.without(&unspent),
+            wanted: Some(usage),
+        };
+        self.draft_allowance(team, &own, &new, Effect::None)
+            .map(Some)
+    }
+
+    /// Nobody waits here: what was wanted is not wanted any more, and what idles goes back.
+    fn plan_idle(
+        &mut self,
+        team: &TeamName,
+        record: &TeamRecord,
+    ) -> Result<Option<Operation>, Unread> {
+        let own = self.config.name.clone();
+        let (now, idle_return) = (self.now, self.config.idle_return);
+        let account = self.account(team);
+        account.earmarked = Usage::ZERO;
+        let idles = now.since(account.used_at) >= idle_return;
+        let unspent = self.room(team)?;
+        let waits = record.wanted.iter().any(|want| want.holder == own);
+        let returned = if idles { unspent } else { Usage::ZERO };
+        if !waits && returned.is_zero() {
+            return Ok(None);
+        }
+        let granted = self.granted(team)?.without(&returned);
+        let wanted = None;
+        let new = NewAllowance { granted, wanted };
+        self.draft_allowance(team, &own, &new, Effect::None)
+            .map(Some)
+    }
+
+    /// Gives up what is unspent, if a holder or a team in front of us waits for it, or the machines or
+    /// the limit have shrunk. It goes before our own requests: those that wait here would starve the
+    /// others else.
+    pub(super) fn plan_yielding(
+        &mut self,
+        team: &TeamName,
+        record: &TeamRecord,
+    ) -> Result<Option<Operation>, Unread> {
+        let earmarked = self.account(team).earmarked;
+        let pool = self.pool()?;
+        let over_limit = record.lent_total().without(&record.limit);
+        let unspent = self.room(team)?;
+        let overcommitted = record.borrowed().at_most(&pool.overcommitted());
+        let shrunk = over_limit.at_least(&overcommitted);
+        let mut owed = Usage::ZERO;
+        if record.others_wait(&self.config.name) {
+            let free = record.free(team, &pool);
+            owed = record.wanted_before(&self.config.name).without(&free);
+        }
+        let to_teams = record.borrowed().at_most(&pool.missing_before(team));
+        let owed = owed
+            .at_least(&to_teams)
+            .at_most(&unspent.without(&earmarked));
+        let less = unspent.at_most(&owed.at_least(&shrunk));
+        if less.is_zero() {
+            return Ok(None);
+        }
+        let own = self.config.name.clone();
+        let wanted = record.wanted.iter().find(|want| want.holder == own);
+        let new = NewAllowance {
+            granted: self.granted(team)?.without(&less),
+            wanted: wanted.map(|want| want.usage),
+        };
+        self.draft_allowance(team, &own, &new, Effect::None)
+            .map(Some)
+    }
+
+    /// The transaction that changes an allowance together with the records that count it.
+    pub(super) fn draft_allowance(
+        &self,
+        team: &TeamName,
+        holder: &HolderName,
+        new: &NewAllowance,
+        effect: Effect,
+    ) -> Result<Operation, Unread> {
+        let record = self.cache.team(team)?.record.cloned().unwrap_or_default();
+        let known_pool = self.cache.pool()?;
+        let pool_version = known_pool.version;
+        let before = known_pool.record.unwrap_or_default();
+        let allowance = self.cache.allowance(team, holder)?.record.cloned();
+        let allowance = AllowanceRecord {
+            granted: new.granted,
+            ..allowance.unwrap_or_default()
+        };
+        let (record, pool) = set_allowance(team, &record, &before, holder, new);
+        let mut draft = Draft::default();
+        let team_key = RecordKey::Team(team.clone());
+        draft.replace(&self.cache, team_key, Some(Record::Team(record)))?;
+        let allowance_key = RecordKey::Allowance(team.clone(), holder.clone());
+        let allowance = Some(Record::Allowance(allowance));
+        draft.replace(&self.cache, allowance_key, allowance)?;
+        match pool {
+            Some(pool) => draft.write(RecordKey::Pool, pool_version, Some(Record::Pool(pool))),
+            // What may be borrowed was read from it.
+            None => draft.require(&RecordKey::Pool, pool_version),
+        }
+        Ok(draft.commit(effect))
+    }
+
+    fn granted(&self, team: &TeamName) -> Result<Usage, Unread> {
+        let known = self.cache.allowance(team, &self.config.name)?;
+        Ok(known.record.map_or(Usage::ZERO, |a| a.granted))
+    }
+
+    fn usage_of(&self, id: &AdmissionId) -> Usage {
+        let admission = self.admissions.get(id);
+        admission.map_or(Usage::ZERO, |a| a.request.usage)
+    }
+
+    fn waiting_usage(&self, team: &TeamName) -> Usage {
+        let Some(account) = self.accounts.get(team) else {
+            return Usage::ZERO;
+        };
+        account.waiting.iter().map(|p| self.usage_of(&p.2)).sum()
+    }
+}
--- /dev/null
+++ b/crates/quota/src/holder/mod.rs
@@ -0,0 +1,462 @@
+//! One holder of allowances: a controller, or a program that embeds this package.
+//!
+//! The holder decides without input or output. [`Holder::poll`] gives the next request to the store,
+//! [`Holder::on_outcome`] takes what became of it, [`Holder::take_decisions`] tells what was decided.
+//! There is one request under way at a time; many admissions share a transaction.
+//!
+//! A request whose outcome is unknown is repeated, word for word, until the store says whether it was
+//! carried out. Nothing else is decided meanwhile.
+
+mod account;
+mod cache;
+mod charge;
+mod collect;
+mod enforce;
+mod lend;
+mod operation;
+mod outcomes;
+mod policy;
+mod settle;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use lichencrank_store::{Request, StoreLimits, Time};
+
+use crate::admission::{AdmissionEvent, AdmissionRequest, AdmissionState, RejectReason};
+use crate::amount::Usage;
+use crate::names::{AdmissionId, HolderName, TeamName};
+use crate::records::{names_fit, OpenState, PoolRecord, RecordKey};
+
+use account::{Account, Place};
+use cache::{Cache, Unread};
+use collect::Collection;
+use enforce::Enforcement;
+use operation::{Flight, Operation, Purpose};
+use policy::PolicyChange;
+pub use policy::{Policy, TeamPolicy};
+
+/// Open admissions read at once.
+const LOAD_PAGE: u32 = 500;
+/// Most bytes of a transaction, with room to spare for its framing.
+const BATCH_BYTES: usize = 44 * 1024;
+
+/// What a holder is told about itself and the store.
+#[derive(Clone, Debug)]
+pub struct HolderConfig {
+    /// Its name; of processes with the same name only the last one that claimed an allowance may use
+    /// it.
+    pub name: HolderName,
+    /// Limits of the store.
+    pub limits: StoreLimits,
+    /// About how many holders there are; a smaller share is lent ahead where there are many.
+    pub holders: u64,
+    /// How often a holder that waits looks whether room has become free.
+    pub refresh_every: Duration,
+    /// An allowance that was not needed for so long goes back.
+    pub idle_return: Duration,
+    /// An answer that took longer is no word of the store any more: the charge is read again before
+    /// the work may start.
+    pub confirm_after: Duration,
+}
+
+/// What was decided.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// The store has the charge: the work may start.
+    Admitted(AdmissionId),
+    /// The same admission was charged before, to that holder's allowance.
+    AlreadyAdmitted {
+        /// The admission.
+        id: AdmissionId,
+        /// Who has it in hand.
+        holder: HolderName,
+    },
+    /// The same admission was charged before, and is settled.
+    AlreadySettled(AdmissionId),
+    /// It is never admitted.
+    Rejected {
+        /// The request.
+        id: AdmissionId,
+        /// Why.
+        reason: RejectReason,
+    },
+    /// The request was taken back before anything was charged.
+    Withdrawn(AdmissionId),
+    /// An earlier process of this name had charged it; whether its work runs is not known.
+    Recovered(AdmissionId),
+    /// The work has to end, to make room. It counts until [`Holder::release`].
+    Revoked(AdmissionId),
+    /// The charge is taken back.
+    Released(AdmissionId),
+    /// No such admission is open.
+    NotOpen(AdmissionId),
+    /// The policy that was set is in the store.
+    PolicyWritten,
+    /// The other holder's allowance of that team is no more than what it has charged.
+    Reclaimed {
+        /// The team.
+        team: TeamName,
+        /// The holder that was given up.
+        holder: HolderName,
+    },
+    /// The other holder is there again, or keeps its own accounts: nothing was reclaimed.
+    NotReclaimed {
+        /// The team.
+        team: TeamName,
+        /// The holder.
+        holder: HolderName,
+    },
+}
+
+/// An admission that this holder has in hand.
+#[derive(Debug)]
+struct Admission {
+    request: AdmissionRequest,
+    state: AdmissionState,
+    /// Orders requests by their arrival.
+    arrival: u64,
+}
+
+/// A holder of allowances.
+#[derive(Debug)]
+pub struct Holder {
+    config: HolderConfig,
+    now: Time,
+    cache: Cache,
+    flight: Flight,
+    /// Nothing is sent before.
+    pause_until: Time,
+    accounts: BTreeMap<TeamName, Account>,
+    /// The team that had its turn last.
+    last_turn: Option<TeamName>,
+    admissions: BTreeMap<AdmissionId, Admission>,
+    arrivals: u64,
+    /// Open keys to look at, as a transaction failed on them or its outcome was unknown.
+    suspects: BTreeSet<AdmissionId>,
+    /// Requests for what is charged already.
+    repeats: BTreeSet<AdmissionId>,
+    /// Charges to confirm, as their answer came late.
+    unconfirmed: BTreeSet<AdmissionId>,
+    /// Admissions whose end is proven.
+    releasing: BTreeSet<AdmissionId>,
+    collections: VecDeque<Collection>,
+    policy_change: Option<PolicyChange>,
+    enforcement: Enforcement,
+    decisions: Vec<Decision>,
+}
+
+impl Holder {
+    /// A holder that knows nothing yet.
+    pub fn new(config: HolderConfig) -> Holder {
+        Holder {
+            config,
+            now: Time::default(),
+            cache: Cache::default(),
+            flight: Flight::Idle,
+            pause_until: Time::default(),
+            accounts: BTreeMap::new(),
+            last_turn: None,
+            admissions: BTreeMap::new(),
+            arrivals: 0,
+            suspects: BTreeSet::new(),
+            repeats: BTreeSet::new(),
+            unconfirmed: BTreeSet::new(),
+            releasing: BTreeSet::new(),
+            collections: VecDeque::new(),
+            policy_change: None,
+            enforcement: Enforcement::default(),
+            decisions: Vec::new(),
+        }
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &HolderName {
+        &self.config.name
+    }
+
+    /// Asks for an admission. A repeat of one that is in hand changes nothing.
+    pub fn request(&mut self, request: AdmissionRequest) {
+        let id = request.id.clone();
+        if !names_fit(&id) {
+            return self.reject(id, RejectReason::BadName);
+        }
+        if let Some(admission) = self.admissions.get(&id) {
+            if admission.state.counts() {
+                // Somebody else may have settled it meanwhile.
+                self.cache.forget(&RecordKey::Open(id.clone()));
+                self.repeats.insert(id);
+            }
+            return;
+        }
+        self.arrivals += 1;
+        let admission = Admission {
+            request,
+            state: AdmissionState::Requested,
+            arrival: self.arrivals,
+        };
+        let place = admission.place();
+        let account = self.account(&id.team);
+        account.waiting.insert(place);
+        self.admissions.insert(id, admission);
+    }
+
+    /// The work runs; for whoever asks how far its admission is.
+    pub fn started(&mut self, id: &AdmissionId) {
+        self.change(id, AdmissionEvent::Started);
+    }
+
+    /// It is proven that the work has ended, or never will begin. Also for work that another holder has
+    /// charged.
+    pub fn release(&mut self, id: AdmissionId) {
+        if !names_fit(&id) {
+            return self.decisions.push(Decision::NotOpen(id));
+        }
+        match self.state(&id) {
+            // Another holder may have charged the same one.
+            Some(AdmissionState::Requested) if !self.is_in_flight(&id) => self.drop_request(&id),
+            Some(state) if state.counts() => {
+                self.change(&id, AdmissionEvent::EndProven);
+            }
+            _ => {}
+        }
+        self.releasing.insert(id);
+    }
+
+    /// Nobody wants the work any more, and nobody was told that it may start.
+    pub fn withdraw(&mut self, id: AdmissionId) {
+        if self.state(&id) == Some(AdmissionState::Requested) && !self.is_in_flight(&id) {
+            self.drop_request(&id);
+            self.decisions.push(Decision::Withdrawn(id));
+            return;
+        }
+        self.release(id);
+    }
+
+    /// How far an admission in hand is.
+    pub fn state(&self, id: &AdmissionId) -> Option<AdmissionState> {
+        self.admissions.get(id).map(|admission| admission.state)
+    }
+
+    /// How many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.accounts.values().map(|a| a.waiting.len()).sum()
+    }
+
+    /// What this holder has charged of a team, as far as it knows.
+    pub fn charged(&self, team: &TeamName) -> Usage {
+        self.accounts.get(team).map_or(Usage::ZERO, |a| a.charged)
+    }
+
+    /// Opens the accounts of that team, so that what an earlier process of this name had charged is
+    /// known again.
+    pub fn open_account(&mut self, team: &TeamName) {
+        self.account(team);
+    }
+
+    /// The process stood still while the world went on: nothing that is known counts, and whatever was
+    /// charged is read again before it is acted upon.
+    pub fn resumed_after_pause(&mut self) {
+        self.cache.forget_all();
+        for (team, account) in &mut self.accounts {
+            account.enter(team, account::Claim::None);
+        }
+    }
+
+    /// What was decided since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
+    /// The next request to the store, unless one is under way or there is nothing to do.
+    pub fn poll(&mut self, now: Time) -> Option<Request> {
+        self.now = self.now.max(now);
+        if self.now < self.pause_until {
+            return None;
+        }
+        match std::mem::take(&mut self.flight) {
+            sent @ Flight::Sent { .. } => {
+                self.flight = sent;
+                return None;
+            }
+            Flight::Repeat { operation, since } => {
+                return Some(self.send(operation, since, true));
+            }
+            Flight::Idle => {}
+        }
+        let operation = self.next_operation()?;
+        Some(self.send(operation, self.now, false))
+    }
+
+    fn send(&mut self, operation: Operation, since: Time, repeated: bool) -> Request {
+        let request = operation.request.clone();
+        self.flight = Flight::Sent {
+            operation,
+            since,
+            repeated,
+        };
+        request
+    }
+
+    /// What has to be read goes before whatever depends on it.
+    fn next_operation(&mut self) -> Option<Operation> {
+        match self.plan() {
+            Ok(operation) => operation,
+            Err(Unread(key)) => Some(Operation {
+                request: Request::Get(key.path()),
+                purpose: Purpose::Read(key),
+            }),
+        }
+    }
+
+    /// What is to be done next: what is unclear first, then what makes room, then what takes it.
+    fn plan(&mut self) -> Result<Option<Operation>, Unread> {
+        self.resolve_suspects()?;
+        self.confirm_late_charges()?;
+        self.answer_repeats()?;
+        if let Some(operation) = self.plan_settling()? {
+            return Ok(Some(operation));
+        }
+        if let Some(operation) = self.plan_policy()? {
+            return Ok(Some(operation));
+        }
+        if let Some(operation) = self.plan_collection()? {
+            return Ok(Some(operation));
+        }
+        if let Some(operation) = self.plan_enforcement()? {
+            return Ok(Some(operation));
+        }
+        self.plan_accounts()
+    }
+
+    /// Every team has its turn, beginning behind the one that had it last.
+    fn plan_accounts(&mut self) -> Result<Option<Operation>, Unread> {
+        let mut teams: Vec<TeamName> = self.accounts.keys().cloned().collect();
+        if let Some(last) = &self.last_turn {
+            let behind = teams.partition_point(|team| team <= last);
+            teams.rotate_left(behind);
+        }
+        for team in teams {
+            let operation = self.plan_account(&team)?;
+            if operation.is_some() {
+                self.last_turn = Some(team);
+                return Ok(operation);
+            }
+        }
+        Ok(None)
+    }
+
+    fn account(&mut self, team: &TeamName) -> &mut Account {
+        let now = self.now;
+        let account = self.accounts.entry(team.clone());
+        account.or_insert_with(|| Account::new(now))
+    }
+
+    /// The pool; as if there were no end of capacity where there is no record of it.
+    fn pool(&self) -> Result<PoolRecord, Unread> {
+        Ok(self.cache.pool()?.record.unwrap_or_default())
+    }
+
+    // ---- admissions
+
+    /// The one place where an admission in hand changes its state and its team's sum. Returns whether it
+    /// did.
+    fn change(&mut self, id: &AdmissionId, event: AdmissionEvent) -> bool {
+        let Some(admission) = self.admissions.get_mut(id) else {
+            return false;
+        };
+        let before = admission.state;
+        let after = match before.after(event) {
+            Ok(after) => after,
+            Err(error) => {
+                tracing::warn!("admission {id}: {error}");
+                return false;
+            }
+        };
+        admission.state = after;
+        let usage = admission.request.usage;
+        let place = admission.place();
+        let account = self.account(&id.team);
+        if !before.counts() && after.counts() {
+            account.charged += usage;
+            account.earmarked = account.earmarked.without(&usage);
+            account.waiting.remove(&place);
+        }
+        if before.counts() && !after.counts() {
+            account.charged = account.charged.without(&usage);
+        }
+        if after == AdmissionState::Released {
+            self.admissions.remove(id);
+        }
+        before != after
+    }
+
+    /// Nothing more is known of a request that was never charged.
+    fn drop_request(&mut self, id: &AdmissionId) {
+        if let Some(admission) = self.admissions.remove(id) {
+            let place = admission.place();
+            self.account(&id.team).waiting.remove(&place);
+        }
+    }
+
+    fn reject(&mut self, id: AdmissionId, reason: RejectReason) {
+        tracing::info!("admission {id}: rejected, {reason}");
+        self.drop_request(&id);
+        self.decisions.push(Decision::Rejected { id, reason });
+    }
+
+    /// Takes in an open admission of ours as the store has it.
+    fn see_own_open(&mut self, id: &AdmissionId, record: &crate::records::OpenRecord) {
+        if !self.admissions.contains_key(id) {
+            self.arrivals += 1;
+            let request = AdmissionRequest {
+                id: id.clone(),
+                usage: record.usage,
+                priority: record.priority,
+            };
+            let admission = Admission {
+                request,
+                state: AdmissionState::Requested,
+                arrival: self.arrivals,
+            };
+            self.admissions.insert(id.clone(), admission);
+            self.change(id, AdmissionEvent::ChargeCommitted);
+            self.decisions.push(Decision::Recovered(id.clone()));
+        } else if self.state(id) == Some(AdmissionState::Requested) {
+            self.change(id, AdmissionEvent::ChargeCommitted);
+            self.decisions.push(Decision::Admitted(id.clone()));
+        }
+        if record.state == OpenState::Revoked {
+            self.see_revocation(id);
+        }
+    }
+
+    fn see_revocation(&mut self, id: &AdmissionId) {
+        let state = self.state(id);
+        let can_end = matches!(
+            state,
+            Some(AdmissionState::Charged | AdmissionState::Running)
+        );
+        if can_end && self.change(id, AdmissionEvent::RevocationSeen) {
+            self.decisions.push(Decision::Revoked(id.clone()));
+        }
+    }
+
+    fn is_in_flight(&self, id: &AdmissionId) -> bool {
+        let (Flight::Sent { operation, .. } | Flight::Repeat { operation, .. }) = &self.flight
+        else {
+            return false;
+        };
+        let Purpose::Commit { writes, .. } = &operation.purpose else {
+            return false;
+        };
+        let key = RecordKey::Open(id.clone());
+        writes.iter().any(|(written, _)| *written == key)
+    }
+}
+
+impl Admission {
+    fn place(&self) -> Place {
+        (self.request.priority, self.arrival, self.request.id.clone())
+    }
+}
--- /dev/null
+++ b/crates/quota/src/lib.rs
@@ -0,0 +1,29 @@
+//! Team limits and guarantees that hold across all controllers, also when they decide at the same
+//! instant.
+//!
+//! A team's limit is lent in allowances to the holders that admit its work ([`lending`]). A holder
+//! charges admissions within its allowance, each with a record in the store, on condition that its
+//! allowance still has the version that it knows ([`Holder`]). So limits hold without holders talking
+//! to each other, and a holder that was given up can charge nothing more, also with a transaction
+//! that is still under way. [`audit`] rebuilds every total from the admissions.
+//!
+//! [`Holder`] decides without input or output; [`driver::BlockingQuota`] runs one against a store.
+
+pub mod admission;
+pub mod amount;
+pub mod audit;
+pub mod driver;
+pub mod holder;
+pub mod lending;
+pub mod names;
+pub mod records;
+pub mod revocation;
+pub mod settled;
+
+pub use admission::{AdmissionRequest, AdmissionState, RejectReason};
+pub use amount::{Amount, Usage};
+pub use audit::{Difference, Ledger};
+pub use driver::BlockingQuota;
+pub use holder::{Decision, Holder, HolderConfig, Policy, TeamPolicy};
+pub use names::{AdmissionId, HolderName, RequesterName, TeamName};
+pub use records::Priority;
