--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -89,6 +89,11 @@
     play("quota_capacity", 1..3);
 }
 
+#[test]
+fn four_thousand() {
+    play("four_thousand", 1..2);
+}
+
 #[test]
 fn changing_hands() {
     play("changing_hands", 1..5);
