--- a/crates/quota/src/accounts.rs
+++ b/crates/quota/src/accounts.rs
@@ -23,6 +23,12 @@
     gpus: Amount::whole(1_000_000),
 };
 
+/// A team's record, its allowance and the pool.
+const CHANGES_PER_TEAM: usize = 3;
+
+/// What is missing is waited for in parts of so many tasks, so that teams have their turns.
+const WANTED_TASKS: u64 = 16;
+
 /// What a team's work takes and waits for.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Demand {
@@ -134,17 +140,20 @@
         (own.record.epoch == self.epoch && !own.record.fenced).then_some(own)
     }
 
-    /// The next transaction, if anything has to change. The caller adds what its own writes depend on,
-    /// and tells the outcome.
-    pub fn plan(&mut self, demands: &BTreeMap<TeamName, Demand>) -> Option<Txn> {
+    /// The next transaction, of so many changes at the most, if anything has to change. The caller adds
+    /// what its own writes depend on, and tells the outcome.
+    pub fn plan(
+        &mut self,
+        demands: &BTreeMap<TeamName, Demand>,
+        max_changes: usize,
+    ) -> Option<Txn> {
         if !self.is_ready() {
             return None;
         }
-        let teams: Vec<TeamName> = self.policy.teams.keys().cloned().collect();
-        let changes = teams.iter().find_map(|team| {
-            let demand = demands.get(team).copied().unwrap_or_default();
-            self.changes_of(team, &demand)
-        })?;
+        let changes = self.changes(demands, max_changes.max(CHANGES_PER_TEAM));
+        if changes.is_empty() {
+            return None;
+        }
         let mut txn = Txn::default();
         for (key, record) in &changes {
             txn.require(key.path(), self.version(key));
@@ -156,6 +165,28 @@
         Some(txn)
     }
 
+    /// The changes of as many teams as a transaction takes. Each team's follow from those before it, as
+    /// they share the pool.
+    fn changes(
+        &self,
+        demands: &BTreeMap<TeamName, Demand>,
+        max_changes: usize,
+    ) -> Vec<(RecordKey, Record)> {
+        let mut picture = self.picture.clone();
+        let mut changes: BTreeMap<RecordKey, Record> = BTreeMap::new();
+        for team in self.policy.teams.keys() {
+            if changes.len() + CHANGES_PER_TEAM > max_changes {
+                break;
+            }
+            let demand = demands.get(team).copied().unwrap_or_default();
+            for (key, record) in self.changes_of(&picture, team, &demand) {
+                picture.put(key.clone(), Version::ABSENT, record.clone(), &self.holder);
+                changes.insert(key, record);
+            }
+        }
+        changes.into_iter().collect()
+    }
+
     /// The transaction was committed at that version.
     pub fn committed(&mut self, version: Version) {
         if let Stage::Committing(changes) = std::mem::replace(&mut self.stage, Stage::Ready) {
@@ -188,16 +219,23 @@
     }
 
     /// The records of a team that are not as they should be.
-    fn changes_of(&self, team: &TeamName, demand: &Demand) -> Option<Vec<(RecordKey, Record)>> {
-        let wanted = self.policy.teams.get(team)?;
-        let known_team = self.picture.teams.get(team).map(|known| &known.record);
+    fn changes_of(
+        &self,
+        picture: &Picture,
+        team: &TeamName,
+        demand: &Demand,
+    ) -> Vec<(RecordKey, Record)> {
+        let Some(wanted) = self.policy.teams.get(team) else {
+            return Vec::new();
+        };
+        let known_team = picture.teams.get(team).map(|known| &known.record);
         let record = known_team.cloned().unwrap_or_default();
         let pool = PoolRecord {
             capacity: self.policy.capacity,
-            ..self.picture.pool.record.clone()
+            ..picture.pool.record.clone()
         };
         let (record, pool) = set_policy(team, &record, &pool, wanted.guarantee, wanted.limit);
-        let known_own = self.picture.own.get(team).map(|known| &known.record);
+        let known_own = picture.own.get(team).map(|known| &known.record);
         let own = known_own.cloned().unwrap_or_default();
         let new = self.new_allowance(team, &record, &pool, &own, demand);
         let (record, changed_pool) = set_allowance(team, &record, &pool, &self.holder, &new);
@@ -216,10 +254,10 @@
             let key = RecordKey::Allowance(team.clone(), self.holder.clone());
             changes.push((key, Record::Allowance(own)));
         }
-        if pool != self.picture.pool.record {
+        if pool != picture.pool.record {
             changes.push((RecordKey::Pool, Record::Pool(pool)));
         }
-        (!changes.is_empty()).then_some(changes)
+        changes
     }
 
     fn new_allowance(
@@ -244,12 +282,13 @@
         granted = granted.without(&unspent.at_most(&owed));
         let lendable = record.lendable(team, pool, &self.holder);
         granted = granted + lending(&granted, &lendable, pool, demand);
-        let room = granted.without(&demand.used);
-        let missing = demand.front.without(&room);
-        let waits = !missing.is_zero() && demand.front.fits(&record.limit);
+        let short = (demand.used + demand.waiting).without(&granted);
+        let under_limit = record.limit.without(&granted);
+        let wanted = short.at_most(&under_limit);
+        let wanted = wanted.at_most(&demand.front.times(WANTED_TASKS));
         NewAllowance {
             granted,
-            wanted: waits.then_some(missing),
+            wanted: (!wanted.is_zero()).then_some(wanted),
         }
     }
 }
--- /dev/null
+++ b/crates/quota/tests/records.rs
@@ -0,0 +1,188 @@
+//! Amounts, names, settled numbers, the order of revocations, and what the audit names.
+
+use std::collections::BTreeMap;
+
+use lichencrank_quota::names::{AdmissionId, HolderName, RequesterName, TeamName};
+use lichencrank_quota::records::{
+    names_fit, OpenRecord, OpenState, PoolRecord, RecordKey, TeamRecord,
+};
+use lichencrank_quota::revocation::{choose, may_stop, Candidate, TeamUse};
+use lichencrank_quota::settled::SettledRecord;
+use lichencrank_quota::{Amount, Difference, Ledger, Priority, Usage};
+
+#[test]
+fn sums_of_decimals_do_not_drift() {
+    let tenth = Usage::needed(0.1, 0.0);
+    let sum: Usage = std::iter::repeat_n(tenth, 1_000_000).sum();
+    assert_eq!(sum, Usage::of_cpus(100_000));
+    assert_eq!(tenth.times_in(&Usage::of_cpus(3)), 30);
+    // Needs are rounded up and limits down.
+    assert!(Amount::needed(1.0 / 3.0) > Amount::allowed(1.0 / 3.0));
+    assert_eq!(Amount::limit(0.0), Amount::UNLIMITED);
+    assert_eq!(
+        Amount::UNLIMITED.without(Amount::whole(5)),
+        Amount::UNLIMITED
+    );
+    assert_eq!(Amount::needed(f64::NAN), Amount::ZERO);
+    assert_eq!(Usage::needed(0.25, 1.5).to_string(), "0.25 CPUs, 1.5 GPUs");
+}
+
+#[test]
+fn every_name_has_its_key_and_comes_back() {
+    for name in ["vision", "Großer Bär/1", "a b", "%", "ends."] {
+        let id = AdmissionId {
+            team: TeamName::new(name),
+            requester: RequesterName::new(name),
+            sequence: 7,
+        };
+        let keys = [
+            RecordKey::Pool,
+            RecordKey::Team(id.team.clone()),
+            RecordKey::Allowance(id.team.clone(), HolderName::new(name)),
+            RecordKey::Settled(id.team.clone(), id.requester.clone()),
+            RecordKey::Open(id),
+        ];
+        for key in keys {
+            let path = key.path();
+            assert!(!path.contains(' ') && path.len() <= 200, "{path}");
+            assert_eq!(RecordKey::parse(&path), Some(key));
+        }
+    }
+    for path in [
+        "quota/team/",
+        "quota/open/a/b",
+        "quota/open/a/b/c/d",
+        "run/a/b",
+        "quota/team/%zz",
+    ] {
+        let known = RecordKey::parse(path).filter(|key| key.path() == path);
+        assert_eq!(known.filter(|_| path != "quota/team/"), None, "{path}");
+    }
+    let long = AdmissionId {
+        team: TeamName::new(&"x".repeat(61)),
+        requester: RequesterName::new("r"),
+        sequence: 0,
+    };
+    assert!(!names_fit(&long));
+}
+
+#[test]
+fn settled_numbers_fold_once_and_stay_small() {
+    let mut record = SettledRecord::default();
+    for number in (0..100_000).rev() {
+        assert!(record.fold(number, Usage::of_cpus(1)));
+        assert!(!record.fold(number, Usage::of_cpus(1)));
+    }
+    assert_eq!(record.released, Usage::of_cpus(100_000));
+    let stored = serde_json::to_string(&record).expect("it has a form");
+    assert!(stored.len() < 100, "{stored}");
+    let read: SettledRecord = serde_json::from_str(&stored).expect("its own form");
+    assert_eq!(read, record);
+    // Runs that no one wrote: empty, and beyond the last number.
+    let odd = r#"{"numbers":[[5,0],[4294967290,900]],"released":{"cpus":0,"gpus":0}}"#;
+    let odd: SettledRecord = serde_json::from_str(odd).expect("a form");
+    assert_eq!(odd.numbers.len(), 6);
+}
+
+fn candidate(id: u32, team: &str, priority: Priority, cpus: u64, loss: u64) -> Candidate<u32> {
+    Candidate {
+        id,
+        team: TeamName::new(team),
+        priority,
+        usage: Usage::of_cpus(cpus),
+        loss,
+    }
+}
+
+fn team_use(guarantee: u64, used: u64) -> TeamUse {
+    TeamUse {
+        guarantee: Usage::of_cpus(guarantee),
+        used: Usage::of_cpus(used),
+    }
+}
+
+#[test]
+fn revocations_take_borrowed_work_only_and_the_least_urgent_first() {
+    let teams = BTreeMap::from([
+        (TeamName::new("a"), team_use(4, 10)),
+        (TeamName::new("b"), team_use(8, 8)),
+    ]);
+    let candidates = [
+        candidate(1, "a", Priority::High, 2, 0),
+        candidate(2, "a", Priority::BestEffort, 2, 9),
+        candidate(3, "a", Priority::BestEffort, 2, 1),
+        candidate(4, "a", Priority::Normal, 4, 0),
+        candidate(5, "b", Priority::BestEffort, 8, 0),
+    ];
+    let chosen = |cpus| choose(Usage::of_cpus(cpus), &teams, &candidates);
+    assert_eq!(chosen(2), Some(vec![3]));
+    assert_eq!(chosen(4), Some(vec![3, 2]));
+    // Four of six borrowed are gone; the normal one would cut into the guarantee.
+    assert_eq!(chosen(6), Some(vec![3, 2, 1]));
+    assert_eq!(chosen(7), None);
+}
+
+#[test]
+fn who_may_be_stopped_for_whom() {
+    use Priority::{BestEffort, Critical, High, Normal};
+    assert!(may_stop(Normal, High, false, false));
+    assert!(!may_stop(High, High, true, false));
+    assert!(!may_stop(Critical, High, false, true));
+    assert!(may_stop(Critical, BestEffort, true, true));
+    assert!(!may_stop(High, Normal, false, true));
+}
+
+/// Each way in which the records can disagree is named.
+#[test]
+fn the_audit_names_each_difference() {
+    let (team, holder) = (TeamName::new("t"), HolderName::new("h"));
+    let mut record = TeamRecord {
+        guarantee: Usage::of_cpus(4),
+        limit: Usage::of_cpus(8),
+        ..TeamRecord::default()
+    };
+    record.lent.insert(holder.clone(), Usage::of_cpus(6));
+    let id = AdmissionId {
+        team: team.clone(),
+        requester: RequesterName::new("r"),
+        sequence: 3,
+    };
+    let open = OpenRecord {
+        holder: holder.clone(),
+        epoch: 1,
+        usage: Usage::of_cpus(9),
+        priority: Priority::Normal,
+        state: OpenState::Charged,
+    };
+    let mut settled = SettledRecord::default();
+    settled.fold(3, Usage::of_cpus(9));
+    let mut ledger = Ledger {
+        pool: Some(PoolRecord {
+            capacity: Usage::of_cpus(8),
+            ..PoolRecord::default()
+        }),
+        ..Ledger::default()
+    };
+    ledger.teams.insert(team.clone(), record);
+    ledger.open.insert(id.clone(), open);
+    ledger
+        .settled
+        .insert((team.clone(), RequesterName::new("r")), settled);
+    let found = ledger.audit();
+    let named = |wanted: fn(&Difference) -> bool| found.iter().any(wanted);
+    assert!(named(|d| matches!(d, Difference::OverLimit { .. })));
+    assert!(named(|d| matches!(d, Difference::LentDiffers { .. })));
+    assert!(named(|d| matches!(d, Difference::PoolDiffers { .. })));
+    assert!(named(|d| matches!(d, Difference::GuaranteeBroken { .. })));
+    assert!(found.contains(&Difference::OpenAndSettled(id)));
+    let allowance = lichencrank_quota::records::AllowanceRecord {
+        granted: Usage::of_cpus(6),
+        ..Default::default()
+    };
+    ledger.allowances.insert((team, holder), allowance);
+    let found = ledger.audit();
+    let over = found
+        .iter()
+        .filter(|d| matches!(d, Difference::OverAllowance { .. }));
+    assert_eq!(over.count(), 1, "{found:?}");
+}
--- /dev/null
+++ b/examples/scale.rs
@@ -0,0 +1,202 @@
+//! Measures processor time per report and per placement by the number of machines:
+//! `cargo run --release --example scale`. The figures are in `docs/results.md`.
+
+use std::time::{Duration, Instant};
+
+use lichencrank::coordination::{Action, Controller, Policy};
+use lichencrank::features::Features;
+use lichencrank::protocol::cloud::MachineType;
+use lichencrank::protocol::users::{JobSpec, Priority, Shape};
+use lichencrank::protocol::workers::{Report, TaskReport, TaskState};
+use lichencrank::protocol::Amount;
+use lichencrank::settings::{Settings, Tuning};
+use lichencrank::storage::records::{self, JobRecord};
+use lichencrank::types::{Attempt, HostName, JobId, Session, TaskId, Term, Tick, Time, Version};
+
+const FLEETS: [u64; 3] = [100, 1000, 4000];
+const TERM: Term = Term(3);
+const CPUS: f64 = 8.0;
+const TASK_CPUS: f64 = 2.0;
+const TASKS_PER_JOB: u64 = 20;
+const ROUNDS: u64 = 10;
+const SETTINGS: &str = r#"{
+    "host_name": "node-0", "area": "a", "front": "127.0.0.1:1", "internal_addr": "127.0.0.1:2",
+    "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+    "settings": {
+        "zones": ["a"], "teams": [{"name": "t", "cpus_max": 100000.0}],
+        "workers": {"report_s": 3.0, "lease_s": 44.0, "cancel_s": 74.0},
+        "state": {"rps": 1000.0, "write_rps": 1000.0, "value_kb": 16.0, "txn_ops": 16},
+        "cloud": {"rps": 10.0}, "resources": {"sockets": 5000}
+    }
+}"#;
+
+fn kind() -> MachineType {
+    MachineType {
+        name: "c8".into(),
+        cpus: Amount(CPUS),
+        gpus: Amount(0.0),
+        memory_gb: Amount(32.0),
+        cache_gb: Amount(50.0),
+        fetch_gb_per_s: Amount(1.0),
+        price: Amount(1.0),
+        spot_price: Amount(0.3),
+        boot_s: Amount(30.0),
+        zones: vec!["a".into()],
+    }
+}
+
+fn job(number: u64) -> JobRecord {
+    JobRecord {
+        spec: JobSpec {
+            id: JobId(number),
+            class: "any".into(),
+            team: "t".into(),
+            shape: Shape::Array,
+            priority: Priority::Normal,
+            tasks: TASKS_PER_JOB,
+            cpus: Amount(TASK_CPUS),
+            gpus: Amount(0.0),
+            memory_gb: Amount(1.0),
+            image: "img".into(),
+            image_gb: Amount(0.5),
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            estimate_s: Amount(600.0),
+            checkpoint_s: Amount(0.0),
+            save_s: Amount(0.0),
+            deadline_s: None,
+        },
+        at_ms: 0,
+        chunk: records::tasks_per_record(16.0),
+    }
+}
+
+fn report(host: u64, tick: u64, tasks: &[(TaskId, Attempt)]) -> Report {
+    let tasks = tasks.iter().map(|(task, attempt)| TaskReport {
+        task: *task,
+        attempt: *attempt,
+        state: TaskState::Running,
+        cause: None,
+    });
+    Report {
+        host: HostName::new(&format!("vm-{host:06}")),
+        address: "127.0.0.1:9000".into(),
+        kind: "c8".into(),
+        zone: "a".into(),
+        spot: true,
+        session: Session(1),
+        tick: Tick(tick),
+        token: TERM,
+        notice_s: None,
+        tasks: tasks.collect(),
+    }
+}
+
+/// What the machines hold, by the records of the leader.
+fn bookings(c: &Controller, host: u64) -> Vec<(TaskId, Attempt)> {
+    let host = c.hosts.get(&HostName::new(&format!("vm-{host:06}")));
+    let bookings = host.map(|host| host.bookings.iter());
+    let bookings = bookings.into_iter().flatten();
+    bookings
+        .map(|(task, booking)| (*task, booking.attempt))
+        .collect()
+}
+
+struct Measured {
+    report: Duration,
+    placement: Duration,
+    idle_pass: Duration,
+}
+
+fn measure(machines: u64) -> Measured {
+    let settings = Settings::parse(SETTINGS).expect("the settings here");
+    let rules = Policy::new(&settings.settings, &Tuning::default(), &Features::default());
+    let mut now = Time(0);
+    let mut c = Controller::new(TERM, Version(1), rules, vec![kind()], now);
+    c.valid_until = Time(u64::MAX);
+    c.on_loaded(now);
+    let mut tick = 0;
+    let mut reports = Duration::ZERO;
+    let mut placements = Duration::ZERO;
+    for round in 0..ROUNDS {
+        now = now.after(Duration::from_secs(3));
+        tick += 1;
+        let all: Vec<Report> = (0..machines)
+            .map(|host| report(host, tick, &bookings(&c, host)))
+            .collect();
+        let began = Instant::now();
+        for report in &all {
+            c.on_report(report, now).expect("its term");
+        }
+        reports += began.elapsed();
+        if round == 1 {
+            let fit = (CPUS / TASK_CPUS) as u64 * machines;
+            for number in 0..fit / TASKS_PER_JOB {
+                c.on_job(job(number + 1), Version(number + 10));
+            }
+        }
+        // Until all fits: a pass books so many tasks at the most.
+        let began = Instant::now();
+        place_all(&mut c, &mut now);
+        placements += began.elapsed();
+    }
+    let booked: usize = c.hosts.values().map(|host| host.bookings.len()).sum();
+    let began = Instant::now();
+    c.tick(now.after(Duration::from_secs(1)), 0);
+    let idle_pass = began.elapsed();
+    Measured {
+        report: reports / (ROUNDS * machines) as u32,
+        placement: placements / booked.max(1) as u32,
+        idle_pass,
+    }
+}
+
+fn place_all(c: &mut Controller, now: &mut Time) {
+    for _ in 0..machines_passes() {
+        c.tick(*now, now.0);
+        let mut wrote = false;
+        while let Some(txn) = c.next_batch(16, true) {
+            wrote = !txn.changes.is_empty();
+            let Controller { batcher, jobs, .. } = c;
+            let verdict = batcher.applied(jobs, Version(now.0 + 100), *now);
+            c.on_verdict(verdict, *now).expect("its term");
+        }
+        let commands = c.take_actions();
+        for action in commands {
+            if let Action::Command {
+                host,
+                session,
+                orders,
+                ..
+            } = action
+            {
+                let result = lichencrank::coordination::CommandResult::HeldBack;
+                let _ = c.on_commanded(&host, session, &orders, result, *now);
+            }
+        }
+        if !wrote {
+            return;
+        }
+        *now = now.after(Duration::from_millis(1));
+    }
+}
+
+/// More passes than the largest fleet needs.
+fn machines_passes() -> u32 {
+    400
+}
+
+fn main() {
+    println!("machines  per report  per placement  a pass with nothing to place");
+    for machines in FLEETS {
+        let Measured {
+            report,
+            placement,
+            idle_pass,
+        } = measure(machines);
+        println!("{machines:>8}  {report:>10.2?}  {placement:>13.2?}  {idle_pass:>10.2?}");
+    }
+}
--- a/src/coordination/lifecycle.rs
+++ b/src/coordination/lifecycle.rs
@@ -73,6 +73,7 @@
             self.on_job_gone(id, now);
         }
         if self.cancelled.len() > MAX_CANCELLED {
+            tracing::warn!("more than {MAX_CANCELLED} jobs are cancelled, the oldest is forgotten");
             let oldest = self.cancelled.iter().min_by_key(|(_, at)| **at);
             if let Some(oldest) = oldest.map(|(job, _)| *job) {
                 self.cancelled.remove(&oldest);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -166,8 +166,8 @@
 const PLACE_EVERY: Duration = Duration::from_secs(1);
 /// Machines that have reported get work after this part of the first report round.
 const EARLY_PART: u32 = 4;
-/// Cancelled jobs remembered by a node's word.
-const MAX_CANCELLED: usize = 2000;
+/// Cancelled jobs remembered by a node's word, of some ten bytes each; several heartbeats' worth.
+const MAX_CANCELLED: usize = 12_000;
 /// A new leader that can't read the records answers workers for this part of what cancellations have
 /// beyond a worker's lease. The rest is for those confirmed just before its term.
 const BLIND_PART: f64 = 0.6;
--- a/src/coordination/quota.rs
+++ b/src/coordination/quota.rs
@@ -187,7 +187,8 @@
             return None;
         }
         let demands = self.demands();
-        let mut txn = self.accounts.as_mut()?.plan(&demands)?;
+        let most = self.batcher.txn_ops;
+        let mut txn = self.accounts.as_mut()?.plan(&demands, most)?;
         let holder = crate::storage::records::HOLDER.to_owned();
         txn.require(holder, self.batcher.holder());
         Some(txn)
--- a/src/node/cancellations.rs
+++ b/src/node/cancellations.rs
@@ -32,6 +32,12 @@
             });
         let mut latest: Vec<RecentCancellation> = recent.collect();
         latest.sort_by_key(|cancelled| std::cmp::Reverse(cancelled.remaining_ms));
+        if latest.len() > MAX_CANCELLATIONS {
+            tracing::warn!(
+                "{} cancellations are recent, a heartbeat tells of the last {MAX_CANCELLATIONS}",
+                latest.len()
+            );
+        }
         latest.truncate(MAX_CANCELLATIONS);
         latest
     }
--- a/src/node/leader_duties/loading.rs
+++ b/src/node/leader_duties/loading.rs
@@ -137,6 +137,7 @@
     pub(super) fn on_watch(&mut self, outcome: Outcome, now: Time) {
         match outcome {
             Outcome::News(news) => {
+                self.failed_watches = 0;
                 self.watch_from = self.watch_from.max(news.revision);
                 for event in news.events {
                     if let (Some(key), Some(value)) = (event.put, event.value) {
@@ -152,6 +153,14 @@
                 self.watch();
             }
             Outcome::TooOld => self.read_live(String::new()),
+            Outcome::Unknown if self.failed_watches + 1 >= MAX_FAILED_WATCHES => {
+                self.failed_watches = 0;
+                self.read_live(String::new());
+            }
+            Outcome::Unknown => {
+                self.failed_watches += 1;
+                self.watch();
+            }
             _ => self.watch(),
         }
     }
--- a/src/node/leader_duties/mod.rs
+++ b/src/node/leader_duties/mod.rs
@@ -63,6 +63,9 @@
 const BATCH_LIMIT: Duration = Duration::from_millis(1500);
 const WATCH_HOLD: Duration = Duration::from_secs(2);
 const WATCH_SLACK: Duration = Duration::from_millis(1500);
+/// After so many failed watches the jobs are read page by page: news of a flood may be too long for one
+/// answer, and would be so again.
+const MAX_FAILED_WATCHES: u32 = 3;
 const COMMAND_LIMIT: Duration = Duration::from_secs(4);
 const CLOUD_LIMIT: Duration = Duration::from_secs(6);
 const LIST_EVERY: Duration = Duration::from_secs(4);
@@ -111,6 +114,8 @@
     calls: HashMap<CallId, LeaderCall>,
     pending: Vec<(Class, StateRequest, Duration, LeaderRequest)>,
     watch_from: Version,
+    /// Watches in a row that brought nothing, not even that nothing has changed.
+    failed_watches: u32,
     /// While the jobs are read again in full: those seen so far.
     seen: Option<BTreeSet<JobId>>,
     loaded: bool,
@@ -120,6 +125,7 @@
     types_written: bool,
     /// When the accounts are read again, and whether they are being read or written.
     quota: PeriodicTask,
+    accounts_at: Time,
     batch_interval: Duration,
     batch_at: Time,
     txn_ops: usize,
@@ -144,6 +150,7 @@
             calls: HashMap::new(),
             pending: Vec::new(),
             watch_from: Version(0),
+            failed_watches: 0,
             seen: Some(BTreeSet::new()),
             loaded: false,
             listing: Vec::new(),
@@ -151,6 +158,7 @@
             types: PeriodicTask::new(TYPES_EVERY, now),
             types_written: false,
             quota: PeriodicTask::new(QUOTA_EVERY, now),
+            accounts_at: now,
             batch_interval,
             batch_at: now,
             txn_ops,
--- a/src/node/leader_duties/quota.rs
+++ b/src/node/leader_duties/quota.rs
@@ -6,14 +6,16 @@
 
 /// What is read, one after the other.
 const PREFIXES: [&str; 3] = [POOL, TEAMS, ALLOWANCES];
-/// Changes that a transaction of the accounts has at the most: team, allowance and pool.
+/// How often is looked whether the accounts have to change: that goes through all jobs.
+const ACCOUNTS_EVERY: Duration = Duration::from_millis(200);
+/// Changes that one team of the accounts takes: its record, the allowance and the pool.
 const QUOTA_CHANGES: f64 = 3.0;
 
 impl LeaderDuties {
     /// Reads the accounts every so often, and writes what has to change. Bookings depend on the versions,
     /// so nothing is written while a batch is under way.
     pub(super) fn keep_accounts(&mut self, writes: &mut RateLimit, now: Time) {
-        if self.controller.rules_quota().is_none() || !self.loaded {
+        if self.controller.rules_quota().is_none() {
             return;
         }
         if std::mem::take(&mut self.controller.quota_outdated) {
@@ -24,6 +26,11 @@
             self.read_quota(0, String::new());
             return;
         }
+        // What is booked counts, so nothing changes before the records are read.
+        if now < self.accounts_at || !self.loaded {
+            return;
+        }
+        self.accounts_at = now.after(ACCOUNTS_EVERY);
         let free = !self.quota.busy && self.controller.batcher.is_idle();
         if !free || writes.available(now) < QUOTA_CHANGES {
             return;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -53,9 +53,10 @@
 /// How long a better placed peer must have been fit before the leader makes room.
 const TRANSFER_AFTER: Duration = Duration::from_secs(15);
 const WORKERS_FOR: Duration = Duration::from_secs(6);
-const MAX_WORKERS: usize = 10_000;
-/// Cancellations in one heartbeat.
-const MAX_CANCELLATIONS: usize = 300;
+/// Workers that are counted at the least, however few sockets there are.
+const MIN_WORKERS: usize = 10_000;
+/// Cancellations in one heartbeat, of 12 bytes each: a little more than half of what a message may have.
+const MAX_CANCELLATIONS: usize = 3000;
 const SUMMARY_EVERY: Duration = Duration::from_secs(10);
 /// What the nodes together leave of the budgets, for requests that are counted late.
 const HEADROOM: f64 = 0.92;
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -95,6 +95,17 @@
         }
     }
 
+    /// Notes that a worker reports here. Each holds a socket, so there are about as many as there may be
+    /// sockets; those that changed their node within seconds are the rest.
+    fn note_worker(&mut self, host: &HostName, now: Time) {
+        let most = MIN_WORKERS.max(self.settings.settings.resources.sockets * 2);
+        if self.workers.len() < most || self.workers.contains_key(host) {
+            self.workers.insert(host.clone(), now);
+        } else {
+            tracing::warn!("{host} is not counted: {most} workers have reported here lately");
+        }
+    }
+
     pub(super) fn on_beat(&mut self, body: &[u8]) -> Response {
         let report: Report = match decode(body) {
             Ok(report) => report,
@@ -104,9 +115,7 @@
             }
         };
         let now = self.net.now();
-        if self.workers.len() < MAX_WORKERS {
-            self.workers.insert(report.host.clone(), now);
-        }
+        self.note_worker(&report.host, now);
         if let Some(duties) = &mut self.duties {
             if duties.controller.is_blind(now) {
                 return Response::later(503, 1);
