--- a/crates/quota/examples/admissions.rs
+++ b/crates/quota/examples/admissions.rs
@@ -174,7 +174,7 @@
             return 0;
         };
         let most = LIMITS.changes - 1;
-        let is_full = self.running.len() * 10 > wanted * 8;
+        let is_full = self.running.len() * 10 > wanted * 8 || used >= LIMIT;
         let ended = if is_full { 8 } else { 0 };
         let ended: Vec<String> = self.running.iter().take(ended.min(most)).cloned().collect();
         let room = LIMIT.saturating_sub(used) as usize + ended.len();
--- a/examples/scale.rs
+++ b/examples/scale.rs
@@ -118,14 +118,12 @@
     let mut c = Controller::new(TERM, Version(1), rules, vec![kind()], now);
     c.valid_until = Time(u64::MAX);
     c.on_loaded(now);
-    let mut tick = 0;
     let mut reports = Duration::ZERO;
     let mut placements = Duration::ZERO;
     for round in 0..ROUNDS {
         now = now.after(Duration::from_secs(3));
-        tick += 1;
         let all: Vec<Report> = (0..machines)
-            .map(|host| report(host, tick, &bookings(&c, host)))
+            .map(|host| report(host, round + 1, &bookings(&c, host)))
             .collect();
         let began = Instant::now();
         for report in &all {
