--- a/crates/quota/src/holder/mod.rs
+++ b/crates/quota/src/holder/mod.rs
@@ -365,6 +365,7 @@
         let Some(admission) = self.admissions.get_mut(id) else {
             return false;
         };
+        let _admission = tracing::debug_span!("admission", %id).entered();
         let before = admission.state;
         let after = match before.after(event) {
             Ok(after) => after,
@@ -373,6 +374,7 @@
                 return false;
             }
         };
+        tracing::trace!("{before:?} -> {after:?}");
         admission.state = after;
         let usage = admission.request.usage;
         let place = admission.place();
--- a/crates/quota/tests/failures.rs
+++ b/crates/quota/tests/failures.rs
@@ -269,3 +269,36 @@
         cluster.settle();
     }
 }
+
+/// A charge has no answer, is carried out much later, and its request is withdrawn meanwhile: what it
+/// may have taken is given to nobody else before the store has said what became of it, also if the
+/// repetition is refused.
+#[test]
+fn a_charge_without_an_answer_takes_its_room_until_it_is_known() {
+    for faults in [
+        vec![Fault::CarriedOutLate],
+        vec![Fault::CarriedOutLate, Fault::RateLimited],
+    ] {
+        let mut cluster = Cluster::new(1, policy(None, &[("vision", 0, 2)]));
+        let (first, second) = (id("vision", 1, 1), id("vision", 2, 1));
+        cluster.holders[0].request(request(&first, 2.0));
+        cluster.send_charge(0);
+        for fault in &faults {
+            cluster.stores[0].inject(*fault);
+        }
+        for _ in 0..faults.len() {
+            cluster.step(0);
+            cluster.advance(300);
+        }
+        cluster.holders[0].withdraw(first.clone());
+        cluster.holders[0].request(request(&second, 2.0));
+        for _ in 0..20 {
+            cluster.step(0);
+            cluster.advance(300);
+        }
+        cluster.shared.deliver_late();
+        assert_eq!(cluster.ledger().audit(), [], "{faults:?}");
+        assert!(cluster.running.contains(&second), "{faults:?}");
+        assert!(!cluster.running.contains(&first), "{faults:?}");
+    }
+}
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -218,6 +218,7 @@
         scarce: &[bool],
         pass: &mut Pass,
     ) {
+        let _job = tracing::debug_span!("job", id = %job.id).entered();
         let priority = if rank.patient {
             spec.priority
         } else {
@@ -464,6 +465,7 @@
             return;
         };
         let attempt = Attempt(job.last_attempt(task.index).0 + 1);
+        let _attempt = tracing::debug_span!("attempt", %task, %attempt).entered();
         let session = host.session;
         let state = TaskState::Booked {
             host: name.clone(),
--- a/src/node/leader_duties/loading.rs
+++ b/src/node/leader_duties/loading.rs
@@ -39,6 +39,7 @@
         outcome: Outcome,
         now: Time,
     ) -> Result<(), Deposed> {
+        let _term = self.span().entered();
         match ask {
             LeaderRequest::Live { after } => match outcome {
                 Outcome::Page(page) => self.on_live_page(after.is_empty(), page, now),
--- a/src/node/leader_duties/mod.rs
+++ b/src/node/leader_duties/mod.rs
@@ -169,6 +169,11 @@
         duties
     }
 
+    /// Marks log lines with the term that they belong to.
+    pub(super) fn span(&self) -> tracing::Span {
+        tracing::info_span!("leader", term = self.controller.term.0)
+    }
+
     pub(super) fn take_pending(&mut self) -> Vec<(Class, StateRequest, Duration, LeaderRequest)> {
         std::mem::take(&mut self.pending)
     }
@@ -182,6 +187,7 @@
 
     /// Everything that is due: decisions, the next batch, calls to workers and the cloud.
     pub(super) fn turn(&mut self, net: &mut impl Network, writes: &mut RateLimit, now: Time) {
+        let _term = self.span().entered();
         if now >= self.decide_at {
             self.controller.tick(now, net.time_of_day());
             // However much there is to decide, reports and users get most of the time.
