--- a/crates/quota/tests/failures.rs
+++ b/crates/quota/tests/failures.rs
@@ -302,3 +302,21 @@
         assert!(!cluster.running.contains(&first), "{faults:?}");
     }
 }
+
+/// A process told that work is admitted and ended; its successor is asked for the same before it has
+/// seen what was charged. That is no new admission: the work may run.
+#[test]
+fn a_successor_does_not_admit_again() {
+    let mut cluster = cluster();
+    let one = id("vision", 1, 1);
+    cluster.holders[0].request(request(&one, 1.0));
+    cluster.settle();
+    assert!(cluster.running.contains(&one));
+    cluster.kill(0);
+    cluster.holders[0].request(request(&one, 1.0));
+    cluster.settle();
+    let admitted = Decision::Admitted(one.clone());
+    let told = cluster.decisions.iter().filter(|(_, d)| *d == admitted);
+    assert_eq!(told.count(), 1);
+    assert!(cluster.decisions.contains(&(0, Decision::Recovered(one))));
+}
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -6,14 +6,14 @@
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
-use super::hosts::{Booking, BookingPhase, Host, HostLifecycle, Reachability};
-use super::jobs::{Job, TaskState};
+use super::hosts::{Host, HostLifecycle, Reachability};
+use super::jobs::Job;
 use super::ranking::Rank;
 use super::resources::Resources;
 use super::{Controller, AVOID};
 use crate::protocol::cloud::MachineType;
 use crate::protocol::users::{JobSpec, Priority};
-use crate::types::{Attempt, HostName, JobId, TaskId, Tick, Time};
+use crate::types::{Attempt, HostName, JobId, TaskId, Time};
 
 /// Tasks booked in one pass; the rest waits for the next, so that a pass never takes long.
 const MAX_BOOKINGS: u64 = 400;
@@ -458,47 +458,4 @@
             && fresh
             && host.reachability == Reachability::Confirmed
     }
-
-    /// Books a task: recorded first, run later.
-    fn book(&mut self, job: &mut Job, task: TaskId, name: &HostName, now: Time) {
-        let Some(host) = self.hosts.get_mut(name) else {
-            return;
-        };
-        let attempt = Attempt(job.last_attempt(task.index).0 + 1);
-        let _attempt = tracing::debug_span!("attempt", %task, %attempt).entered();
-        let session = host.session;
-        let state = TaskState::Booked {
-            host: name.clone(),
-            attempt,
-            session,
-        };
-        let Some(number) = job.set_task(task.index, state) else {
-            return;
-        };
-        let change = job.chunk(number).map_or(0, |c| c.changes);
-        tracing::debug!("{task} attempt {attempt} -> {name}");
-        host.book(
-            task,
-            Booking {
-                attempt,
-                session,
-                need: job.need,
-                phase: BookingPhase::Recording,
-                change,
-                sent: false,
-                direct: false,
-                answered: Tick(0),
-                stop_told: Tick(0),
-                stop: None,
-                saving: false,
-                fetching: false,
-                since: now,
-                started: None,
-            },
-        );
-        self.charge(&job.team, &job.need);
-        self.batcher.changed(job.id, number, true);
-        let recording = self.recording.entry((job.id, number)).or_default();
-        recording.push((name.clone(), task));
-    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod settings;
 pub mod storage;
 pub mod transport;
+pub mod tuning;
 pub mod types;
