--- a/crates/quota/tests/limits.rs
+++ b/crates/quota/tests/limits.rs
@@ -41,20 +41,19 @@
     assert_eq!(admitted(&cluster), 97);
 }
 
-/// The last unit goes to whoever waits first, also if others ask for smaller parts all the time.
-#[test]
-fn large_requests_are_not_starved_by_small_ones() {
-    let mut cluster = Cluster::new(3, policy(None, &[("vision", 0, 12)]));
+/// Fills twelve CPUs with small work, then asks for a large piece while small requests keep coming and
+/// small work ends one by one. The large one has to begin.
+fn flood_with_small_requests(mut cluster: Cluster, small: &str, large: &str) {
     for n in 0..12 {
-        cluster.holders[n % 3].request(request(&id("vision", n, 1), 1.0));
+        cluster.holders[n % 3].request(request(&id(small, n, 1), 1.0));
     }
     cluster.settle();
-    let large = id("vision", 99, 1);
+    let large = id(large, 99, 1);
     cluster.holders[2].request(request(&large, 8.0));
     cluster.settle();
     for round in 0..40u32 {
         for holder in 0..2 {
-            cluster.holders[holder].request(request(&id("vision", holder, round + 10), 1.0));
+            cluster.holders[holder].request(request(&id(small, holder, round + 10), 1.0));
         }
         let running = cluster.running.first().cloned();
         if let Some(first) = running.filter(|first| *first != large) {
@@ -73,6 +72,20 @@
     cluster.fail("the large request is starved");
 }
 
+/// The last unit goes to whoever waits first, also if others ask for smaller parts all the time.
+#[test]
+fn large_requests_are_not_starved_by_small_ones() {
+    let cluster = Cluster::new(3, policy(None, &[("vision", 0, 12)]));
+    flood_with_small_requests(cluster, "vision", "vision");
+}
+
+/// The same where the small requests are those of another team, and both borrow.
+#[test]
+fn a_team_is_not_starved_by_small_requests_of_another() {
+    let cluster = Cluster::new(3, policy(Some(12), &[("a", 0, 12), ("b", 0, 12)]));
+    flood_with_small_requests(cluster, "a", "b");
+}
+
 /// Three teams at once on machines that don't have all limits together: no borrowing takes what
 /// another team's guarantee needs, whoever comes first.
 #[test]
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -18,9 +18,12 @@
 mod recording;
 mod reports;
 pub mod resources;
+mod run_times;
 mod scaling;
 mod services;
 mod summary;
+mod task_ends;
+mod timeline;
 mod type_eligibility;
 
 pub use policy::Policy;
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -8,13 +8,9 @@
 };
 use super::jobs::{Job, JobPhase, TaskState, SETTLED};
 use super::{Controller, Deposed, Phase};
-use crate::protocol::users::JobSpec;
 use crate::protocol::workers::{stops, Cause, Order, Report, TaskReport, TaskState as Reported};
 use crate::types::{seconds, Attempt, Session, TaskId, Tick, Time};
 
-const LEARN_KEEP: f64 = 0.98;
-/// Nobody knows when a replica ends: forecasts take it for long.
-const SERVICE_RUN_S: f64 = 600.0;
 /// An attempt that was started directly stays in its worker's memory for so many of its leases after
 /// it ended.
 const KEPT_LEASES: u32 = 4;
@@ -266,124 +262,6 @@
         }
     }
 
-    /// Owners' guesses are often wrong, and some days all in the same direction.
-    fn learn(&mut self, task: TaskId, ran: Option<f64>) {
-        let spec = self.jobs.get(&task.job).and_then(|j| j.spec.as_ref());
-        let (Some(spec), Some(ran)) = (spec, ran) else {
-            return;
-        };
-        let (sum, guessed) = self.runs.entry(spec.class.clone()).or_default();
-        // Older runs fade, so that a new day is noticed.
-        *sum = *sum * LEARN_KEEP + ran;
-        *guessed = *guessed * LEARN_KEEP + spec.estimate_s.0;
-    }
-
-    /// How long a task of the job is likely to run.
-    pub(super) fn expected_run(&self, job: &Job) -> f64 {
-        if job.is_service() {
-            return SERVICE_RUN_S;
-        }
-        let expected = match &job.spec {
-            Some(spec) => self.expected_run_of(spec),
-            None => job.estimate(),
-        };
-        // The job's own finished tasks tell more than any guess.
-        let (own, count) = job.ran;
-        (expected + own) / (1.0 + count)
-    }
-
-    /// How long a task of such a job is likely to run, by its owner's guess and the class's runs.
-    pub(super) fn expected_run_of(&self, spec: &JobSpec) -> f64 {
-        if spec.is_service() {
-            return SERVICE_RUN_S;
-        }
-        let (ran, guessed) = self.runs.get(&spec.class).copied().unwrap_or_default();
-        let estimate = spec.estimate_s.0.max(1.0);
-        // A few guesses taken at their word keep the first runs from deciding alone.
-        let prior = estimate * 4.0;
-        estimate * ((ran + prior) / (guessed + prior)).clamp(0.4, 2.5)
-    }
-
-    /// How much longer a running task will take. One past its time shows that the guess was bad.
-    pub(super) fn expected_rest(&self, job: &Job, started: Option<Time>, now: Time) -> f64 {
-        if job.is_service() {
-            return f64::MAX;
-        }
-        let run = self.expected_run(job);
-        let ran = started.map_or(0.0, |s| now.since(s).as_secs_f64());
-        (run - ran).max(ran * 0.25).max(1.0)
-    }
-
-    /// Ends a booking that is proven to have ended, and returns the change that holds the outcome.
-    pub(super) fn end_booking(
-        &mut self,
-        host: &mut Host,
-        task: TaskId,
-        done: bool,
-        now: Time,
-    ) -> u64 {
-        let Some(booking) = host.unbook(task, now) else {
-            return 0;
-        };
-        self.place_wanted = true;
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return 0;
-        };
-        if job.is_service() && booking.started.is_some() {
-            let why = match (booking.stop, host.cordon) {
-                (Some(StopWhy::Preempted), _) => "preempted",
-                (_, Some(Cordon::Notice)) => "its machine was taken",
-                (Some(_), _) => "moved",
-                (None, Some(Cordon::Lost | Cordon::Sick)) => "its machine was given up",
-                (None, _) => "ended or lost",
-            };
-            job.gaps.entry(task.index).or_insert((now, why));
-        }
-        let state = if done {
-            TaskState::Done
-        } else {
-            TaskState::Waiting {
-                last: booking.attempt,
-            }
-        };
-        let mut change = 0;
-        if let Some(number) = job.set_task(task.index, state) {
-            change = job.chunk(number).map_or(0, |c| c.changes);
-            self.batcher.changed(task.job, number, false);
-        }
-        let team = job.team.clone();
-        self.discharge(&team, &booking.need);
-        self.settle(task.job, now);
-        change
-    }
-
-    fn task_failed(&mut self, host: &mut Host, task: TaskId, now: Time) {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        let before = job.suspect();
-        job.failed(&host.name, now);
-        host.failed_jobs.insert(task.job, now);
-        if job.suspect() {
-            if !before {
-                let (times, machines) = (job.failures, job.failed_on.len());
-                tracing::info!(
-                    "{}: fails wherever it is tried ({times} times, {machines} machines)",
-                    task.job
-                );
-            }
-            // It fails everywhere: that says nothing about this machine.
-            return;
-        }
-        host.failures += 1;
-        let proven = job.done > 0 || job.failed_on.len() == 1 && host.failures >= 3;
-        tracing::info!("{}: {task} failed, {} in a row", host.name, host.failures);
-        if host.failed_jobs.len() >= 2 || (proven && host.failures >= 2) {
-            tracing::info!("{}: fails what it is given", host.name);
-            host.cordon(Cordon::Sick);
-        }
-    }
-
     /// A task that the records don't place here. Book before run leaves no honest way to this,
     /// so it is stopped; until it has ended, it is not started elsewhere.
     fn stray(&mut self, host: &mut Host, task: TaskId, attempt: Attempt, now: Time) {
--- /dev/null
+++ b/src/coordination/run_times.rs
@@ -0,0 +1,61 @@
+//! How long tasks run, as far as it can be told from those that ended.
+
+use super::jobs::Job;
+use super::Controller;
+use crate::protocol::users::JobSpec;
+use crate::types::{TaskId, Time};
+
+const LEARN_KEEP: f64 = 0.98;
+
+/// Nobody knows when a replica ends: forecasts take it for long.
+const SERVICE_RUN_S: f64 = 600.0;
+
+impl Controller {
+    /// Owners' guesses are often wrong, and some days all in the same direction.
+    pub(super) fn learn(&mut self, task: TaskId, ran: Option<f64>) {
+        let spec = self.jobs.get(&task.job).and_then(|j| j.spec.as_ref());
+        let (Some(spec), Some(ran)) = (spec, ran) else {
+            return;
+        };
+        let (sum, guessed) = self.runs.entry(spec.class.clone()).or_default();
+        // Older runs fade, so that a new day is noticed.
+        *sum = *sum * LEARN_KEEP + ran;
+        *guessed = *guessed * LEARN_KEEP + spec.estimate_s.0;
+    }
+
+    /// How long a task of the job is likely to run.
+    pub(super) fn expected_run(&self, job: &Job) -> f64 {
+        if job.is_service() {
+            return SERVICE_RUN_S;
+        }
+        let expected = match &job.spec {
+            Some(spec) => self.expected_run_of(spec),
+            None => job.estimate(),
+        };
+        // The job's own finished tasks tell more than any guess.
+        let (own, count) = job.ran;
+        (expected + own) / (1.0 + count)
+    }
+
+    /// How long a task of such a job is likely to run, by its owner's guess and the class's runs.
+    pub(super) fn expected_run_of(&self, spec: &JobSpec) -> f64 {
+        if spec.is_service() {
+            return SERVICE_RUN_S;
+        }
+        let (ran, guessed) = self.runs.get(&spec.class).copied().unwrap_or_default();
+        let estimate = spec.estimate_s.0.max(1.0);
+        // A few guesses taken at their word keep the first runs from deciding alone.
+        let prior = estimate * 4.0;
+        estimate * ((ran + prior) / (guessed + prior)).clamp(0.4, 2.5)
+    }
+
+    /// How much longer a running task will take. One past its time shows that the guess was bad.
+    pub(super) fn expected_rest(&self, job: &Job, started: Option<Time>, now: Time) -> f64 {
+        if job.is_service() {
+            return f64::MAX;
+        }
+        let run = self.expected_run(job);
+        let ran = started.map_or(0.0, |s| now.since(s).as_secs_f64());
+        (run - ran).max(ran * 0.25).max(1.0)
+    }
+}
--- /dev/null
+++ b/src/coordination/timeline.rs
@@ -0,0 +1,182 @@
+//! When machines that are up or to come have room, as the forecast sees it.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use super::fleet::Market;
+use super::hosts::{Cordon, Host, HostLifecycle};
+use super::placement::{self, capacity};
+use super::resources::Resources;
+use super::Controller;
+use crate::protocol::users::JobSpec;
+use crate::types::Time;
+
+/// A machine that is not up after this many times its boot time may never come.
+const HOPELESS_BOOT: f64 = 1.7;
+
+/// How long a task runs on of whose job nothing is known.
+const UNKNOWN_REST_S: f64 = 30.0;
+
+/// A machine that is up or to come, as the forecast sees it; times are seconds from now.
+pub(super) struct Timeline {
+    pub(super) kind: usize,
+    pub(super) zone: String,
+    pub(super) spot: bool,
+    /// When it is up.
+    pub(super) at: f64,
+    /// What services leave of it: they preempt all else.
+    pub(super) for_services: Resources,
+    pub(super) free: Resources,
+    /// What gets free later, in the order of time.
+    pub(super) ends: Vec<(f64, Resources)>,
+}
+
+impl Timeline {
+    /// When there will be room for a task.
+    pub(super) fn start_of(&self, need: &Resources) -> Option<f64> {
+        let mut free = self.free;
+        if need.fits(&free) {
+            return Some(self.at);
+        }
+        for (end, freed) in &self.ends {
+            free.add(freed);
+            if need.fits(&free) {
+                return Some(end.max(self.at));
+            }
+        }
+        None
+    }
+
+    /// Gives the room to a task from `start` on.
+    pub(super) fn take(&mut self, start: f64, run: f64, need: &Resources) {
+        while let Some((_, freed)) = self.ends.first().filter(|(end, _)| *end <= start) {
+            self.free.add(freed);
+            self.ends.remove(0);
+        }
+        self.free.remove(need);
+        let end = start + run;
+        let at = self.ends.partition_point(|(e, _)| *e <= end);
+        self.ends.insert(at, (end, *need));
+    }
+}
+
+/// When each of the machines that suit a job would take a task of it, the soonest on top. Times are
+/// never negative, so their bits are in the order of their values.
+#[derive(Default)]
+pub(super) struct Starts(BinaryHeap<Reverse<(u64, usize)>>);
+
+impl Starts {
+    pub(super) fn of(timelines: &[Timeline], spec: &JobSpec, usable: &[bool]) -> Starts {
+        let need = placement::need(spec);
+        let suits = |timeline: &Timeline| {
+            usable[timeline.kind]
+                && (spec.spot || !timeline.spot)
+                && spec.zone.as_ref().is_none_or(|z| *z == timeline.zone)
+        };
+        let suited = timelines
+            .iter()
+            .enumerate()
+            .filter(|(_, timeline)| suits(timeline));
+        let starts = suited
+            .filter_map(|(at, timeline)| Some(Reverse((timeline.start_of(&need)?.to_bits(), at))))
+            .collect();
+        Starts(starts)
+    }
+
+    /// Infinite if none ever would.
+    pub(super) fn soonest(&self) -> f64 {
+        let first = self.0.peek();
+        first.map_or(f64::INFINITY, |Reverse((start, _))| f64::from_bits(*start))
+    }
+
+    /// Gives the next task to the machine that would take it the soonest; false if there is none.
+    pub(super) fn take(
+        &mut self,
+        timelines: &mut [Timeline],
+        from: f64,
+        run: f64,
+        need: &Resources,
+    ) -> bool {
+        let Some(Reverse((start, at))) = self.0.pop() else {
+            return false;
+        };
+        timelines[at].take(f64::from_bits(start).max(from), run, need);
+        self.add(timelines, at, need);
+        true
+    }
+
+    pub(super) fn add(&mut self, timelines: &[Timeline], at: usize, need: &Resources) {
+        if let Some(next) = timelines[at].start_of(need) {
+            self.0.push(Reverse((next.to_bits(), at)));
+        }
+    }
+}
+
+impl Controller {
+    /// Machines that are here or coming, and when their room gets free.
+    pub(super) fn timelines(&self, now: Time) -> Vec<Timeline> {
+        let hosts = self.hosts.values();
+        let mut timelines: Vec<Timeline> = hosts.filter_map(|h| self.timeline(h, now)).collect();
+        for open in self.fleet.rentals.values() {
+            for _ in 0..open.rental.count {
+                timelines.push(self.new_timeline(open.market.clone()));
+            }
+        }
+        timelines
+    }
+
+    /// The timeline of a machine, unless nothing can be expected of it.
+    pub(super) fn timeline(&self, host: &Host, now: Time) -> Option<Timeline> {
+        let kind = host.kind?;
+        let machine_type = self.types.get(kind)?;
+        let at = match host.lifecycle {
+            HostLifecycle::Up if matches!(host.cordon, None | Some(Cordon::Surplus)) => 0.0,
+            HostLifecycle::Expected => {
+                let boot = machine_type.boot_s.0;
+                let age = now.since(host.rented_at).as_secs_f64();
+                // One that takes much longer than usual may never come.
+                if age > boot * HOPELESS_BOOT {
+                    return None;
+                }
+                (boot - age).max(1.0)
+            }
+            HostLifecycle::Up | HostLifecycle::Silent | HostLifecycle::Releasing => return None,
+        };
+        let mut ends = Vec::new();
+        let mut for_services = capacity(machine_type);
+        for (task, booking) in &host.bookings {
+            let job = self.jobs.get(&task.job);
+            let rest = job.map_or(UNKNOWN_REST_S, |j| {
+                self.expected_rest(j, booking.started, now)
+            });
+            ends.push((rest, booking.need));
+            if self.is_service(*task) {
+                for_services.remove(&booking.need);
+            }
+        }
+        ends.sort_by(|a, b| a.0.total_cmp(&b.0));
+        Some(Timeline {
+            kind,
+            zone: host.zone.clone(),
+            spot: host.spot,
+            at,
+            for_services,
+            free: capacity(machine_type).minus(&host.used),
+            ends,
+        })
+    }
+
+    pub(super) fn new_timeline(&self, (kind, zone, spot): Market) -> Timeline {
+        let t = &self.types[kind];
+        let at = t.boot_s.0;
+        Timeline {
+            kind,
+            zone,
+            spot,
+            at,
+            for_services: capacity(t),
+            free: capacity(t),
+            ends: Vec::new(),
+        }
+    }
+}
--- a/src/node/leader_duties/loading.rs
+++ b/src/node/leader_duties/loading.rs
@@ -40,6 +40,7 @@
         now: Time,
     ) -> Result<(), Deposed> {
         let _term = self.span().entered();
+        self.answered_meanwhile |= outcome.is_answer();
         match ask {
             LeaderRequest::Live { after } => match outcome {
                 Outcome::Page(page) => self.on_live_page(after.is_empty(), page, now),
@@ -139,6 +140,7 @@
         match outcome {
             Outcome::News(news) => {
                 self.failed_watches = 0;
+                self.answered_meanwhile = false;
                 self.watch_from = self.watch_from.max(news.revision);
                 for event in news.events {
                     if let (Some(key), Some(value)) = (event.put, event.value) {
@@ -154,13 +156,14 @@
                 self.watch();
             }
             Outcome::TooOld => self.read_live(String::new()),
-            Outcome::Unknown if self.failed_watches + 1 >= MAX_FAILED_WATCHES => {
-                self.failed_watches = 0;
-                self.read_live(String::new());
-            }
             Outcome::Unknown => {
                 self.failed_watches += 1;
-                self.watch();
+                if self.failed_watches >= MAX_FAILED_WATCHES && self.answered_meanwhile {
+                    self.failed_watches = 0;
+                    self.read_live(String::new());
+                } else {
+                    self.watch();
+                }
             }
             _ => self.watch(),
         }
--- a/src/node/leader_duties/mod.rs
+++ b/src/node/leader_duties/mod.rs
@@ -63,8 +63,8 @@
 const BATCH_LIMIT: Duration = Duration::from_millis(1500);
 const WATCH_HOLD: Duration = Duration::from_secs(2);
 const WATCH_SLACK: Duration = Duration::from_millis(1500);
-/// After so many failed watches the jobs are read page by page: news of a flood may be too long for one
-/// answer, and would be so again.
+/// After so many failed watches, while other requests are answered, the jobs are read page by page: news
+/// of a flood may be too long for one answer, and would be so again.
 const MAX_FAILED_WATCHES: u32 = 3;
 const COMMAND_LIMIT: Duration = Duration::from_secs(4);
 const CLOUD_LIMIT: Duration = Duration::from_secs(6);
@@ -116,6 +116,8 @@
     watch_from: Version,
     /// Watches in a row that brought nothing, not even that nothing has changed.
     failed_watches: u32,
+    /// Other requests were answered since a watch last brought anything.
+    answered_meanwhile: bool,
     /// While the jobs are read again in full: those seen so far.
     seen: Option<BTreeSet<JobId>>,
     loaded: bool,
@@ -151,6 +153,7 @@
             pending: Vec::new(),
             watch_from: Version(0),
             failed_watches: 0,
+            answered_meanwhile: false,
             seen: Some(BTreeSet::new()),
             loaded: false,
             listing: Vec::new(),
