--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -303,7 +303,9 @@
                 self.place_at = now.after(PLACE_EVERY);
                 self.place(now);
             }
-            self.run_fleet(now);
+            if self.has_claimed_allowances() {
+                self.run_fleet(now);
+            }
         }
     }
 
--- a/src/coordination/quota.rs
+++ b/src/coordination/quota.rs
@@ -97,6 +97,16 @@
         usage(&job.need).times_in(&room)
     }
 
+    /// Whether it is known what teams may use. Before that all work seems to need no machines, and they
+    /// would be returned.
+    pub(super) fn has_claimed_allowances(&self) -> bool {
+        let Some(accounts) = &self.accounts else {
+            return true;
+        };
+        let mut teams = self.rules.teams.iter();
+        teams.all(|team| accounts.granted(&TeamName::new(&team.name)).is_some())
+    }
+
     /// Whether a task of that priority may be stopped for the job, by the rules of preemption. Borrowed
     /// work gives way to guarantees where the feature is on.
     pub(super) fn may_preempt(&self, victim: &Job, by: &Job) -> bool {
