--- a/src/node/leader_duties/loading.rs
+++ b/src/node/leader_duties/loading.rs
@@ -39,7 +39,7 @@
         outcome: Outcome,
         now: Time,
     ) -> Result<(), Deposed> {
-        let _term = self.span().entered();
+        let _term = self.span.clone().entered();
         self.answered_meanwhile |= outcome.is_answer();
         match ask {
             LeaderRequest::Live { after } => match outcome {
--- a/src/node/leader_duties/mod.rs
+++ b/src/node/leader_duties/mod.rs
@@ -109,6 +109,8 @@
 
 pub(super) struct LeaderDuties {
     pub controller: Controller,
+    /// Marks log lines with the term; made once, as making one takes longer than entering it.
+    span: tracing::Span,
     cloud: SocketAddr,
     cloud_budget: RateLimit,
     calls: HashMap<CallId, LeaderCall>,
@@ -146,6 +148,7 @@
         now: Time,
     ) -> LeaderDuties {
         let mut duties = LeaderDuties {
+            span: tracing::info_span!("leader", term = controller.term.0),
             controller,
             cloud,
             cloud_budget: RateLimit::new(cloud_rps * 0.8, cloud_rps),
@@ -172,11 +175,6 @@
         duties
     }
 
-    /// Marks log lines with the term that they belong to.
-    pub(super) fn span(&self) -> tracing::Span {
-        tracing::info_span!("leader", term = self.controller.term.0)
-    }
-
     pub(super) fn take_pending(&mut self) -> Vec<(Class, StateRequest, Duration, LeaderRequest)> {
         std::mem::take(&mut self.pending)
     }
@@ -190,7 +188,7 @@
 
     /// Everything that is due: decisions, the next batch, calls to workers and the cloud.
     pub(super) fn turn(&mut self, net: &mut impl Network, writes: &mut RateLimit, now: Time) {
-        let _term = self.span().entered();
+        let _term = self.span.clone().entered();
         if now >= self.decide_at {
             self.controller.tick(now, net.time_of_day());
             // However much there is to decide, reports and users get most of the time.
