Cut zones keep their leases; no vain moves of the leader; zones tracked behind a switch

Change: a controller whose zone is cut off answers workers that have obeyed a leader with the highest term it knows, for three quarters of the time that cancelled work has beyond a lease. A leader stays where a move would hear no more, and waits longer after each cut. Machines of a zone that is cut, or back for less than a report takes, are not given up as never booted. Behind zones.enabled, off: the states, budgets and ramp of crates/zones.

All tests of the workspace pass.

--- a/src/coordination/failure_detector.rs
+++ b/src/coordination/failure_detector.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::hosts::{Cordon, Host, HostLifecycle, Reachability, StopWhy};
+use super::zones::LATE_FACTOR;
 use super::{Action, Controller};
 use crate::protocol::cloud::MAX_RELEASE;
 use crate::types::{seconds, HostName, Time};
@@ -18,17 +19,25 @@
 /// A worker whose controller does not answer is heard again at the latest so long after its report was
 /// due: it waits 4 s for the answer and 1 s before it tries the next one, which may send it on.
 const LONGEST_RETRY: Duration = Duration::from_millis(6500);
+/// How long a machine of an unknown type boots.
+const UNKNOWN_BOOT_S: f64 = 60.0;
 /// Reports come at the latest after this many intervals.
 const LATEST_REPORT: f64 = 1.25;
 
+/// A healthy worker that can reach some controller has been heard by the leader after so long.
+pub fn longest_report_delay(report: Duration) -> Duration {
+    report.mul_f64(LATEST_REPORT) + LONGEST_RETRY
+}
+
 impl Controller {
     pub(super) fn watch_hosts(&mut self, now: Time, may_act: bool) {
         // In a cut the first machine is past the limit while the others are merely late: all that
         // missed a report count, or each would be given up alone, one after the other.
-        let late = self.rules.report.mul_f64(1.8);
+        let late = self.rules.report.mul_f64(LATE_FACTOR);
         let mut by_zone: BTreeMap<String, (usize, usize)> = BTreeMap::new();
         let mut everywhere = (0, 0);
         self.note_silence(now);
+        self.observe_zones(now);
         for host in self.hosts.values() {
             if matches!(host.lifecycle, HostLifecycle::Up | HostLifecycle::Silent) {
                 let deaf = matches!(host.reachability, Reachability::HalfOpen { .. });
@@ -48,7 +57,11 @@
             return;
         }
         self.probe(now);
-        let mut give_up = Vec::new();
+        let displaced = self.displaced_hosts(now);
+        let mut give_up: Vec<(HostName, Cordon)> = displaced
+            .into_iter()
+            .map(|name| (name, Cordon::Lost))
+            .collect();
         for host in self.hosts.values() {
             if host.lifecycle == HostLifecycle::Releasing {
                 continue;
@@ -60,7 +73,8 @@
             }
         }
         for (name, why) in give_up {
-            if let Some(host) = self.hosts.get_mut(&name) {
+            let host = self.hosts.get_mut(&name);
+            if let Some(host) = host.filter(|h| h.lifecycle != HostLifecycle::Releasing) {
                 tracing::info!(
                     "{name}: given up, {:?}, {} booked",
                     host.lifecycle,
@@ -89,7 +103,7 @@
     fn silence_limit(&self, host: &Host) -> Duration {
         let usual = self.rules.silent_limit();
         if self.holds_replicas(host) {
-            usual.min(self.rules.report.mul_f64(LATEST_REPORT) + LONGEST_RETRY)
+            usual.min(longest_report_delay(self.rules.report))
         } else {
             usual
         }
@@ -183,6 +197,7 @@
             (HostLifecycle::Up | HostLifecycle::Silent, _) if host.unlisted => {
                 silent_for > self.rules.report.mul_f64(1.3)
             }
+            _ if self.zone_explains_silence(host) => false,
             (HostLifecycle::Silent, _) => {
                 silent_for > if cut { self.rules.lease * 3 } else { limit }
             }
@@ -192,18 +207,29 @@
                 now.since(since) > self.rules.lease * patience + limit
             }
             (HostLifecycle::Expected, _) => {
-                let kind = host.kind.and_then(|k| self.types.get(k));
-                let boot = kind.map_or(60.0, |t| t.boot_s.0);
-                let overdue =
-                    now.since(host.rented_at) > seconds(boot * self.rules.tuning.boot_patience);
-                let said_running = host.running_since.is_some_and(|at| now.since(at) > limit);
-                // A new leader finds machines that are long up: they get their time to report.
-                now.since(host.known_at) > limit && (overdue || said_running)
+                // A new leader finds machines that are long up: they get their time to report. In a
+                // cut zone none of them can, nor can one that came up meanwhile.
+                let patience = if cut { self.rules.lease * 3 } else { limit };
+                now.since(host.known_at) > patience && self.is_up_or_overdue(host, now)
             }
             (HostLifecycle::Up | HostLifecycle::Releasing, _) => false,
         }
     }
 
+    /// Whether the machine ought to have reported: it has before, the cloud has said for long that it
+    /// runs, or its boot takes far too long.
+    pub(super) fn is_up_or_overdue(&self, host: &Host, now: Time) -> bool {
+        if host.lifecycle != HostLifecycle::Expected {
+            return true;
+        }
+        let kind = host.kind.and_then(|k| self.types.get(k));
+        let boot = kind.map_or(UNKNOWN_BOOT_S, |t| t.boot_s.0);
+        let overdue = now.since(host.rented_at) > seconds(boot * self.rules.tuning.boot_patience);
+        let limit = self.silence_limit(host);
+        let said_running = host.running_since.is_some_and(|at| now.since(at) > limit);
+        overdue || said_running
+    }
+
     /// A cancelled job's task sits on a machine that doesn't answer, and the time runs out.
     fn holds_a_cancelled_task(&self, host: &Host, now: Time) -> bool {
         let heard = now.since(host.heard_at) <= self.rules.report * 2
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -308,7 +308,8 @@
     }
 
     /// Asks the cloud for machines, in requests of what one may hold.
-    pub(super) fn order(&mut self, market: Market, mut count: u64, now: Time) {
+    pub(super) fn order(&mut self, market: Market, count: u64, now: Time) {
+        let mut count = self.within_rental_budget(count, now);
         while count > 0 {
             let part = count.min(MAX_RENTAL);
             count -= part;
@@ -334,6 +335,6 @@
 
     pub(super) fn is_closed(&self, market: &Market, now: Time) -> bool {
         let closed = self.fleet.closed.get(market);
-        closed.is_some_and(|until| now < *until)
+        closed.is_some_and(|until| now < *until) || !self.may_rent_in(&market.1)
     }
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -25,7 +25,9 @@
 mod task_ends;
 mod timeline;
 mod type_eligibility;
+mod zones;
 
+pub use failure_detector::longest_report_delay;
 pub use policy::Policy;
 pub use quota::quota_policy;
 pub use summary::Reach;
@@ -39,12 +41,14 @@
 use crate::settings::{Service, Team, Tuning};
 use crate::storage::write_batcher::{Jobs, WriteBatcher};
 use lichencrank_quota::{LeaderAccounts, Usage};
+use lichencrank_zones::ControllerReach;
 
 use crate::types::{seconds, HostName, JobId, Session, TaskId, Term, Time, Version};
 
 use fleet::Fleet;
 use hosts::{Host, HostLifecycle};
 use jobs::Job;
+use zones::Zones;
 
 /// What the leader wants done outside.
 #[derive(Clone, Debug, PartialEq)]
@@ -122,6 +126,10 @@
     fleet: Fleet,
     /// Zones of which this node hears no other node: what is silent there is cut off.
     pub unheard_zones: Vec<String>,
+    /// Whether the controllers of each zone answer this node.
+    pub zone_controllers: BTreeMap<String, ControllerReach>,
+    /// The states of zones, where they are tracked.
+    zones: Option<Zones>,
     /// What each team's bookings take, all that are not proven ended.
     used: BTreeMap<String, Usage>,
     /// What machines report of each team that is not booked there.
@@ -190,6 +198,8 @@
     ) -> Self {
         let policy = rules.quota.clone();
         let accounts = policy.map(|policy| LeaderAccounts::new(term.0, policy));
+        let tracked = rules.zones.clone();
+        let tracked = tracked.map(|settings| Zones::new(settings, now));
         let mut batcher = WriteBatcher::new(holder);
         batcher.max_value = rules.max_value;
         batcher.txn_ops = rules.txn_ops;
@@ -204,6 +214,8 @@
             batcher,
             fleet: Fleet::new(term),
             unheard_zones: Vec::new(),
+            zone_controllers: BTreeMap::new(),
+            zones: tracked,
             used: BTreeMap::new(),
             unbooked: BTreeMap::new(),
             accounts,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -109,6 +109,8 @@
     /// What found no machine.
     full: Vec<TaskShape>,
     left: u64,
+    /// Zones that take only so many more tasks.
+    limited_zones: BTreeMap<String, usize>,
     now: Time,
 }
 
@@ -164,6 +166,7 @@
             open: self.open_machines(now),
             full: Vec::new(),
             left: MAX_BOOKINGS,
+            limited_zones: self.limited_zones(now),
             now,
         };
         for rank in ranks {
@@ -291,6 +294,10 @@
         let name = open.name.clone();
         self.book(job, task, &name, pass.now);
         pass.left -= 1;
+        if let Some(left) = pass.limited_zones.get_mut(&pass.open[best].zone) {
+            *left = left.saturating_sub(1);
+            self.on_placed_in(&pass.open[best].zone);
+        }
     }
 
     /// No machine has room for the next task of the job. `full` is noted so that jobs like it are not
@@ -372,8 +379,9 @@
         let mut best = None;
         while let Some(next) = ranked.pop() {
             let open = &pass.open[next.at];
-            if !Self::zone_allowed(spec, &open.zone, siblings) {
-                // Its siblings only get more during the pass, so it stays out.
+            let zone_is_full = pass.limited_zones.get(&open.zone) == Some(&0);
+            if zone_is_full || !Self::zone_allowed(spec, &open.zone, siblings) {
+                // During the pass the zone takes no more, and its siblings only get more.
                 continue;
             }
             if open.remembers && self.knows_of(&open.name, task) {
--- a/src/coordination/policy.rs
+++ b/src/coordination/policy.rs
@@ -31,6 +31,8 @@
     pub teams: Vec<Team>,
     /// The policy of the teams' allowances, where that feature is on.
     pub quota: Option<lichencrank_quota::Policy>,
+    /// How lost zones are judged and emptied, where that feature is on.
+    pub zones: Option<lichencrank_zones::ZoneSettings>,
     /// Classes that are to begin within so many seconds.
     pub hurried: Vec<(String, f64)>,
     /// What operators have tuned.
@@ -53,6 +55,7 @@
             records: (service.state.write_rps / 2.0).max(4.0) as usize,
             teams: service.teams.clone(),
             quota: quota_policy(&service.teams, &features.quota),
+            zones: features.zones.settings_if_enabled(),
             hurried: service.hurried(),
             tuning: tuning.clone(),
         }
--- a/src/coordination/summary.rs
+++ b/src/coordination/summary.rs
@@ -23,7 +23,7 @@
 impl Controller {
     /// How many of the machines that were up this leader still hears, and where most of them are.
     pub fn reach(&self, now: Time) -> Reach {
-        let late = self.rules.report.mul_f64(1.8);
+        let late = self.rules.report.mul_f64(zones::LATE_FACTOR);
         let mut reach = Reach::default();
         let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
         for host in self.hosts.values() {
--- /dev/null
+++ b/src/coordination/zones.rs
@@ -0,0 +1,282 @@
+//! What the leader observes of zones, and which machines it gives up in a lost one.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lichencrank_zones::{Candidate, Urgency, ZoneObservation, ZoneState, ZoneTracker, ZonesRecord};
+
+use super::hosts::{Booking, Host, HostLifecycle, Reachability};
+use super::{longest_report_delay, Controller};
+use crate::protocol::users::Priority;
+use crate::types::{HostName, TaskId, Time};
+
+/// A machine that missed its report by this factor is late.
+pub(super) const LATE_FACTOR: f64 = 1.8;
+/// Urgent work in a lost zone is given up after so many leases of silence, other work after more. Until
+/// then it may be running: a controller in the zone answers its worker.
+const URGENT_LEASES: u32 = 2;
+const USUAL_LEASES: u32 = 3;
+
+/// The zones as the leader sees them, where that feature is on.
+pub(super) struct Zones {
+    pub(super) tracker: ZoneTracker,
+    /// Whether the record of an earlier leader has been read. Nothing is judged before.
+    restored: bool,
+    /// The record that is being written.
+    writing: Option<ZonesRecord>,
+    /// No record is written before.
+    write_at: Time,
+}
+
+/// A record that could not be written is tried again after this.
+const WRITE_AGAIN: Duration = Duration::from_secs(1);
+
+impl Zones {
+    pub(super) fn new(settings: lichencrank_zones::ZoneSettings, now: Time) -> Zones {
+        Zones {
+            tracker: ZoneTracker::new(settings, now),
+            restored: false,
+            writing: None,
+            write_at: now,
+        }
+    }
+}
+
+impl Controller {
+    /// Whether zones are tracked.
+    pub fn tracks_zones(&self) -> bool {
+        self.zones.is_some()
+    }
+
+    /// The record of the earlier leader, or that there is none that can be read.
+    pub fn on_zones_record(&mut self, record: Option<&ZonesRecord>, now: Time) {
+        let day_ms = self.day_ms;
+        let Some(zones) = &mut self.zones else { return };
+        if let Some(record) = record {
+            zones.tracker.restore(record, now, day_ms);
+        }
+        zones.restored = true;
+    }
+
+    /// The record to be written next, if it is time for one.
+    pub fn next_zones_record(&mut self, now: Time) -> Option<ZonesRecord> {
+        let day_ms = self.day_ms;
+        let zones = self.zones.as_mut()?;
+        if zones.writing.is_some() || now < zones.write_at {
+            return None;
+        }
+        zones.write_at = now.after(WRITE_AGAIN);
+        zones.writing = zones.tracker.record_due(now, day_ms);
+        zones.writing.clone()
+    }
+
+    /// Whether the record that was being written is in the state service now. Where that is not known
+    /// it is written again, which does no harm.
+    pub fn on_zones_recorded(&mut self, written: bool, now: Time) {
+        let day_ms = self.day_ms;
+        let Some(zones) = &mut self.zones else { return };
+        let record = zones.writing.take();
+        if let Some(record) = record.filter(|_| written) {
+            zones.tracker.on_recorded(&record, now, day_ms);
+        }
+    }
+
+    /// Feeds the tracker with what is seen of every zone.
+    pub(super) fn observe_zones(&mut self, now: Time) {
+        let observations = self.zone_observations(now);
+        let Some(zones) = self.zones.as_mut().filter(|zones| zones.restored) else {
+            return;
+        };
+        for change in zones.tracker.observe(&observations, now) {
+            let seen = change.evidence;
+            tracing::info!(
+                "zone {}: {} -> {}: {} of {} machines silent, {} of {} ordinary ones, controllers: {:?}",
+                change.zone,
+                change.from,
+                change.to,
+                seen.silent,
+                seen.machines,
+                seen.ordinary_silent,
+                seen.ordinary,
+                seen.controllers
+            );
+            self.place_wanted = true;
+        }
+    }
+
+    fn zone_observations(&self, now: Time) -> BTreeMap<String, ZoneObservation> {
+        let mut observations: BTreeMap<String, ZoneObservation> = BTreeMap::new();
+        for (zone, reach) in &self.zone_controllers {
+            observations.entry(zone.clone()).or_default().controllers = *reach;
+        }
+        let late = self.rules.report.mul_f64(LATE_FACTOR);
+        for host in self.hosts.values().filter(|host| !host.zone.is_empty()) {
+            if !has_booted(host, now, late) {
+                continue;
+            }
+            let half_open = matches!(host.reachability, Reachability::HalfOpen { .. });
+            let silent = half_open || now.since(host.heard_at) > late;
+            let zone = observations.entry(host.zone.clone()).or_default();
+            zone.count(silent, host.spot);
+        }
+        observations
+    }
+
+    /// Whether the machine's silence is that of its zone, so that only [`Controller::displaced_hosts`]
+    /// gives it up for being silent.
+    pub(super) fn zone_explains_silence(&self, host: &Host) -> bool {
+        let zones = self.zones.as_ref().filter(|zones| zones.restored);
+        zones.is_some_and(|zones| zones.tracker.explains_silence(&host.zone))
+    }
+
+    /// The silent machines of lost and returning zones that are given up now, the most urgent first,
+    /// within the budgets of their zones.
+    pub(super) fn displaced_hosts(&mut self, now: Time) -> Vec<HostName> {
+        if self.zones.is_none() {
+            return Vec::new();
+        }
+        let overdue = |host: &&Host| self.zone_explains_silence(host) && self.is_overdue(host, now);
+        let hosts = self.hosts.values().filter(overdue);
+        let candidates: Vec<Candidate<HostName>> = hosts
+            .map(|host| Candidate {
+                machine: host.name.clone(),
+                zone: host.zone.clone(),
+                urgency: self.urgency(host, now),
+            })
+            .collect();
+        match &mut self.zones {
+            Some(zones) => zones.tracker.displace(candidates, now),
+            None => Vec::new(),
+        }
+    }
+
+    /// Whether a machine has been silent for longer than work like that on it waits for its zone.
+    fn is_overdue(&self, host: &Host, now: Time) -> bool {
+        let silent_for = match (host.lifecycle, host.reachability) {
+            (HostLifecycle::Silent, _) => now.since(host.heard_at),
+            (HostLifecycle::Up, Reachability::HalfOpen { since }) => now.since(since),
+            (HostLifecycle::Expected, _) => now.since(host.known_at.max(host.heard_at)),
+            (HostLifecycle::Up | HostLifecycle::Releasing, _) => return false,
+        };
+        silent_for > self.patience(host, now) && self.is_up_or_overdue(host, now)
+    }
+
+    fn patience(&self, host: &Host, now: Time) -> Duration {
+        let state = self.zones.as_ref().map(|zones| {
+            let tracker = &zones.tracker;
+            (tracker.state(&host.zone), tracker.lasted(&host.zone, now))
+        });
+        let settling = longest_report_delay(self.rules.report);
+        match state {
+            // The zone has been back for long enough for every worker to report.
+            Some((ZoneState::Returning, lasted)) if lasted > settling => self.rules.silent_limit(),
+            _ if self.holds_urgent_work(host) => self.rules.lease * URGENT_LEASES,
+            _ => self.rules.lease * USUAL_LEASES,
+        }
+    }
+
+    fn holds_urgent_work(&self, host: &Host) -> bool {
+        host.bookings.keys().any(|task| {
+            let job = self.jobs.get(&task.job);
+            job.is_some_and(|job| job.priority() <= Priority::High || job.is_service())
+        })
+    }
+
+    /// How urgent the most urgent work on the machine is.
+    fn urgency(&self, host: &Host, now: Time) -> Urgency {
+        let bookings = host.bookings.iter();
+        let most_urgent = bookings
+            .filter_map(|(task, booking)| self.urgency_of(*task, booking, now))
+            .min();
+        let work_lost_ms = host
+            .bookings
+            .iter()
+            .map(|(task, booking)| self.work_lost_ms(*task, booking, now))
+            .sum();
+        match most_urgent {
+            Some(urgency) => Urgency {
+                work_lost_ms,
+                ..urgency
+            },
+            None => Urgency::IDLE,
+        }
+    }
+
+    fn urgency_of(&self, task: TaskId, booking: &Booking, now: Time) -> Option<Urgency> {
+        let job = self.jobs.get(&task.job)?;
+        Some(Urgency {
+            priority: job.priority() as u8,
+            beyond_guarantee: self.is_beyond_guarantee(&job.team),
+            due_ms: job.due_ms().map_or(u64::MAX, |due| due as u64),
+            work_lost_ms: self.work_lost_ms(task, booking, now),
+        })
+    }
+
+    fn is_beyond_guarantee(&self, team: &str) -> bool {
+        let Some(known) = self.rules.team(team) else {
+            return true;
+        };
+        let (cpus, gpus) = known.guaranteed();
+        let guaranteed = lichencrank_quota::Usage::guaranteed(cpus, gpus);
+        let used = self.used.get(team).copied().unwrap_or_default();
+        !used.fits(&guaranteed)
+    }
+
+    /// What the task has done since it last saved, or began.
+    fn work_lost_ms(&self, task: TaskId, booking: &Booking, now: Time) -> u64 {
+        let Some(started) = booking.started else {
+            return 0;
+        };
+        let ran_ms = now.since(started).as_millis() as u64;
+        let spec = self.jobs.get(&task.job).and_then(|job| job.spec.as_ref());
+        let checkpoint_ms = spec.map_or(0.0, |spec| spec.checkpoint_s.0 * 1000.0) as u64;
+        if checkpoint_ms > 0 {
+            ran_ms % checkpoint_ms
+        } else {
+            ran_ms
+        }
+    }
+
+    /// Whether machines may be rented in the zone.
+    pub(super) fn may_rent_in(&self, zone: &str) -> bool {
+        let zones = self.zones.as_ref();
+        zones.is_none_or(|zones| zones.tracker.may_rent_in(zone))
+    }
+
+    /// How many of the wanted machines the budget of rentals allows now.
+    pub(super) fn within_rental_budget(&mut self, wanted: u64, now: Time) -> u64 {
+        let Some(zones) = &mut self.zones else {
+            return wanted;
+        };
+        let Some(left) = zones.tracker.rentals_left(now) else {
+            return wanted;
+        };
+        let count = wanted.min(left as u64);
+        zones.tracker.on_rented(count as usize);
+        count
+    }
+
+    /// Zones that take only so many new tasks now.
+    pub(super) fn limited_zones(&mut self, now: Time) -> BTreeMap<String, usize> {
+        match &mut self.zones {
+            Some(zones) => zones.tracker.limited_zones(now),
+            None => BTreeMap::new(),
+        }
+    }
+
+    /// A new task was placed in the zone.
+    pub(super) fn on_placed_in(&mut self, zone: &str) {
+        if let Some(zones) = &mut self.zones {
+            zones.tracker.on_placed(zone, 1);
+        }
+    }
+}
+
+/// Whether the machine has reported to some leader, or ought to: silence before that says nothing.
+fn has_booted(host: &Host, now: Time, late: Duration) -> bool {
+    match host.lifecycle {
+        HostLifecycle::Up | HostLifecycle::Silent => true,
+        HostLifecycle::Expected => host.running_since.is_some_and(|at| now.since(at) > late),
+        HostLifecycle::Releasing => false,
+    }
+}
--- a/src/features.rs
+++ b/src/features.rs
@@ -3,6 +3,7 @@
 
 use std::path::Path;
 
+use lichencrank_zones::ZoneSettings;
 use serde::Deserialize;
 
 /// The features file.
@@ -11,6 +12,34 @@
 pub struct Features {
     /// Team limits and guarantees that hold across all controllers and embedding programs.
     pub quota: QuotaFeature,
+    /// Orderly displacement from lost zones, and an orderly return.
+    pub zones: ZonesFeature,
+}
+
+/// Lost zones and their return.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ZonesFeature {
+    /// Whether the leader tracks the states of zones and acts on them.
+    pub enabled: bool,
+    /// Thresholds and budgets.
+    pub settings: ZoneSettings,
+}
+
+impl ZonesFeature {
+    /// The settings, if the feature is on.
+    pub fn settings_if_enabled(&self) -> Option<ZoneSettings> {
+        self.enabled.then(|| self.settings.clone())
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let checked = self.settings.check();
+        checked.map_err(|error| format!("zones.settings.{error}"))?;
+        if !self.enabled && self.settings != ZoneSettings::default() {
+            return Err("zones.settings: are of no use while zones is off".to_owned());
+        }
+        Ok(())
+    }
 }
 
 /// Team limits across controllers.
@@ -40,6 +69,7 @@
             serde_path_to_error::deserialize(yaml).map_err(|e| e.to_string())?;
         let features = features.unwrap_or_default();
         features.quota.check()?;
+        features.zones.check()?;
         Ok(features)
     }
 }
--- a/src/node/heartbeats.rs
+++ b/src/node/heartbeats.rs
@@ -23,6 +23,8 @@
     sent_at: Time,
     /// When the last heartbeat that it answered was sent, whatever the answer said.
     reached_at: Option<Time>,
+    /// Since when its answers have come without a break.
+    reachable_since: Time,
     /// The last answer that was understood, and when the heartbeat before it was sent.
     heartbeat: Option<(Time, Heartbeat)>,
     logged_reachable: bool,
@@ -36,6 +38,7 @@
             due: Time::default(),
             sent_at: Time::default(),
             reached_at: None,
+            reachable_since: Time::default(),
             heartbeat: None,
             logged_reachable: true,
         }
@@ -58,6 +61,19 @@
             .is_some_and(|at| now.since(at) < REACHABLE_FOR)
     }
 
+    /// For how long it has been reachable.
+    pub(super) fn reachable_for(&self, now: Time) -> Option<Duration> {
+        self.is_reachable(now)
+            .then(|| now.since(self.reachable_since))
+    }
+
+    fn answered_heartbeat(&mut self, now: Time) {
+        if !self.is_reachable(now) {
+            self.reachable_since = now;
+        }
+        self.reached_at = Some(self.sent_at);
+    }
+
     /// What it said last, if that is not too long ago.
     pub(super) fn recent_heartbeat(&self, now: Time) -> Option<&Heartbeat> {
         let (at, heartbeat) = self.heartbeat.as_ref()?;
@@ -78,7 +94,7 @@
             term: self.leadership.term.0,
             leader: self.leadership.leader.clone(),
             state_ok: self.state_answers(now),
-            home_zone: self.home.clone(),
+            home_zone: self.locality.home.clone(),
             workers: self.workers.len() as u32,
             transferred_leadership: self.leadership.transferred_leadership(now),
             spending: Spending {
@@ -124,10 +140,11 @@
     /// The answer to the heartbeat that was sent to this peer. It tells how things were at some time
     /// after that heartbeat left.
     pub(super) fn on_heartbeat_answer(&mut self, peer: usize, result: Result<Response, CallError>) {
+        let now = self.net.now();
         let peer = &mut self.peers[peer];
         peer.call = None;
         if result.is_ok() {
-            peer.reached_at = Some(peer.sent_at);
+            peer.answered_heartbeat(now);
         }
         let answer: Option<Heartbeat> = peer_messages::answer(peers::HEARTBEAT_PATH, result);
         if let Some(heartbeat) = answer {
--- a/src/node/leader_duties/loading.rs
+++ b/src/node/leader_duties/loading.rs
@@ -66,6 +66,8 @@
                 self.on_quota_page(prefix, after, outcome, now)
             }
             LeaderRequest::QuotaTxn => return self.on_quota_txn(outcome),
+            LeaderRequest::ZonesRecord => self.on_zones_record(outcome, now),
+            LeaderRequest::ZonesTxn => return self.on_zones_txn(outcome, now),
             LeaderRequest::Types => self.types_written = matches!(outcome, Outcome::Committed(_)),
         }
         Ok(())
--- a/src/node/leader_duties/mod.rs
+++ b/src/node/leader_duties/mod.rs
@@ -4,6 +4,7 @@
 mod cloud;
 mod loading;
 mod quota;
+mod zones;
 
 use cloud::rental_result;
 
@@ -42,6 +43,9 @@
         after: String,
     },
     QuotaTxn,
+    /// Reading the record of the zones, and writing it.
+    ZonesRecord,
+    ZonesTxn,
 }
 
 /// Which call to a worker or the cloud a reply answers.
@@ -130,6 +134,8 @@
     /// When the accounts are read again, and whether they are being read or written.
     quota: PeriodicTask,
     accounts_at: Time,
+    /// Version of the record of the zones; unknown after a write without an answer.
+    zones_version: Option<Version>,
     batch_interval: Duration,
     batch_at: Time,
     txn_ops: usize,
@@ -165,12 +171,14 @@
             types_written: false,
             quota: PeriodicTask::new(QUOTA_EVERY, now),
             accounts_at: now,
+            zones_version: None,
             batch_interval,
             batch_at: now,
             txn_ops,
             waiting: Vec::new(),
             decide_at: now,
         };
+        duties.read_zones_record();
         duties.read_live(String::new());
         duties
     }
@@ -197,6 +205,7 @@
         }
         if self.may_act(net) {
             self.keep_accounts(writes, now);
+            self.keep_zones_record(writes, now);
             self.commit(writes, now);
         }
         for (job, chunk) in self.controller.batcher.take_version_unknown() {
--- a/src/node/leader_locality.rs
+++ b/src/node/leader_locality.rs
@@ -3,44 +3,119 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use lichencrank_zones::{ControllerReach, DampingSettings, FlapDamping};
+
 use super::{Node, CAMPAIGN_DELAY, TRANSFER_AFTER, WORKERS_FOR};
 use crate::coordination::Reach;
 use crate::protocol::cloud::MachineType;
 use crate::transport::Network;
 use crate::types::{Term, Time};
 
+/// After an election in which no node of the home zone claimed the free key, none is waited for in
+/// the next cuts: the state service is out of their reach whenever the home zone is cut off.
+const HOME_ABSENT_FOR: Duration = Duration::from_secs(600);
+
+/// What this node knows of zones, as far as it matters for who leads.
+#[derive(Debug, Default)]
+pub(super) struct Locality {
+    /// The zone that holds the most machines, as far as this node has heard.
+    pub(super) home: Option<String>,
+    /// Since when this node's zone has been cut off from everything else.
+    pub(super) zone_isolated_since: Option<Time>,
+    /// Since when a peer in the home zone has been fit to lead while this node does.
+    better_since: Option<Time>,
+    home_flaps: HomeFlaps,
+}
+
+/// What this node has seen of cuts between itself and the home zone.
+#[derive(Debug, Default)]
+struct HomeFlaps {
+    damping: FlapDamping,
+    was_reachable: bool,
+    /// When this node last won an election in which no node of the home zone took part.
+    won_without_home: Option<Time>,
+}
+
+impl HomeFlaps {
+    fn update(&mut self, reachable: bool, now: Time) {
+        let settings = DampingSettings::default();
+        if self.was_reachable && !reachable {
+            self.damping.on_loss(now, &settings);
+        }
+        self.was_reachable = reachable;
+        self.damping.update(now, &settings);
+    }
+
+    /// How long a better placed peer must have been fit: longer after every cut of late.
+    fn transfer_after(&self, now: Time) -> Duration {
+        let settings = DampingSettings::default();
+        let cuts = self.damping.penalty(now, &settings) / settings.per_loss;
+        TRANSFER_AFTER.mul_f64(1.0 + cuts)
+    }
+
+    /// Whether the nodes of the home zone can't claim a free key while they can't be heard.
+    fn home_is_absent_in_cuts(&self, now: Time) -> bool {
+        self.won_without_home
+            .is_some_and(|at| now.since(at) < HOME_ABSENT_FOR)
+    }
+}
+
 impl<N: Network> Node<N> {
+    /// An election was won. Nodes at home go first, so if this one is away from home and hears none of
+    /// them, none of them could claim the key.
+    pub(super) fn note_election_won(&mut self, now: Time) {
+        if !self.is_at_home() && !self.reaches_home(now) {
+            self.locality.home_flaps.won_without_home = Some(now);
+        }
+    }
+
+    /// Whether a peer in the home zone answers.
+    fn reaches_home(&self, now: Time) -> bool {
+        let mut peers = self.settings.peers.iter().zip(&self.peers);
+        peers.any(|(named, peer)| {
+            Some(&named.zone) == self.locality.home.as_ref() && peer.is_reachable(now)
+        })
+    }
+
     /// Where the leader sits matters when zones are cut apart: workers that can't reach it lose
     /// their work. So nodes of the zone with the most machines go first, and a leader elsewhere, or
     /// one that most workers don't reach, makes room.
     pub(super) fn check_leader_locality(&mut self, now: Time) {
         self.workers.retain(|_, at| now.since(*at) < WORKERS_FOR);
-        if self.home.is_none() {
-            self.home = widest_zone(&self.types);
+        if self.locality.home.is_none() {
+            self.locality.home = widest_zone(&self.types);
         }
         self.leadership.campaign_delay = self.campaign_delay();
+        let reaches_home = self.reaches_home(now);
+        self.locality.home_flaps.update(reaches_home, now);
         let unheard = self.unheard_zones(now);
+        let controllers = self.zone_controllers(now);
         let Some(duties) = &mut self.duties else {
             return;
         };
         duties.controller.unheard_zones = unheard;
+        duties.controller.zone_controllers = controllers;
         let reach = duties.controller.reach(now);
         if reach.home.is_some() {
-            self.home.clone_from(&reach.home);
+            self.locality.home.clone_from(&reach.home);
         }
-        let better_placed = self.has_better_placed_peer(&reach, now);
+        let hears_more = self.has_peer_that_hears_more(&reach, now);
+        let better_placed = hears_more || self.has_peer_at_home(now);
         if better_placed {
-            self.better_since.get_or_insert(now);
+            self.locality.better_since.get_or_insert(now);
         } else {
-            self.better_since = None;
+            self.locality.better_since = None;
         }
         let calm = self
+            .locality
             .better_since
-            .is_some_and(|at| now.since(at) >= TRANSFER_AFTER);
+            .is_some_and(|at| now.since(at) >= self.locality.home_flaps.transfer_after(now));
         // Cut off from the home zone, its nodes can't be heard either; they will find the key free.
         // Unless one of our own zone has just tried that in vain.
-        let away = !self.is_at_home() && !self.transferred_in_vain();
-        let cut_off = reach.is_cut_off() && (away || better_placed);
+        let away = !self.is_at_home()
+            && !self.transferred_in_vain()
+            && !self.locality.home_flaps.home_is_absent_in_cuts(now);
+        let cut_off = reach.is_cut_off() && (away || hears_more);
         if (calm || cut_off) && self.leadership.is_certain(now) {
             self.transfer_leadership(&reach, now);
         }
@@ -49,7 +124,12 @@
     /// Whether this node is in the zone with the most machines, or there is but one zone.
     fn is_at_home(&self) -> bool {
         let several = self.settings.settings.zones.len() > 1;
-        !several || self.home.as_ref().is_none_or(|z| *z == self.settings.zone)
+        !several
+            || self
+                .locality
+                .home
+                .as_ref()
+                .is_none_or(|z| *z == self.settings.zone)
     }
 
     /// How long this node lets a free key lie before it takes it.
@@ -65,18 +145,32 @@
         }
     }
 
-    /// Whether a peer that the state service answers is at home while this node is not, or hears more
-    /// workers than this one, which most of them don't reach.
-    fn has_better_placed_peer(&self, reach: &Reach, now: Time) -> bool {
-        let away = !self.is_at_home();
+    /// Whether a peer that the state service answers is at home while this node is not.
+    fn has_peer_at_home(&self, now: Time) -> bool {
+        if self.is_at_home() {
+            return false;
+        }
         let mut peers = self.settings.peers.iter().zip(&self.peers);
         peers.any(|(named, peer)| {
-            peer.recent_heartbeat(now).is_some_and(|h| {
-                let hears_more = h.workers as usize > reach.heard && !h.transferred_leadership;
-                let hears_more = hears_more && reach.is_cut_off();
-                let at_home = away && Some(&named.zone) == self.home.as_ref();
-                h.state_ok && (hears_more || at_home)
-            })
+            let answers = peer.recent_heartbeat(now).is_some_and(|h| h.state_ok);
+            answers && Some(&named.zone) == self.locality.home.as_ref()
+        })
+    }
+
+    /// Whether most workers don't reach this node, and a peer that the state service answers hears more
+    /// of them. Right after a cut a peer still counts workers that are about to come here.
+    fn has_peer_that_hears_more(&self, reach: &Reach, now: Time) -> bool {
+        if !reach.is_cut_off() {
+            return false;
+        }
+        let settling_time = self.settling_time();
+        self.peers.iter().any(|peer| {
+            let reachable_for = peer.reachable_for(now);
+            let settled = reachable_for.is_some_and(|time| time >= settling_time);
+            let hears_more = peer.recent_heartbeat(now).is_some_and(|h| {
+                h.state_ok && !h.transferred_leadership && h.workers as usize > reach.heard
+            });
+            settled && hears_more
         })
     }
 
@@ -92,7 +186,7 @@
     }
 
     fn transfer_leadership(&mut self, reach: &Reach, now: Time) {
-        self.better_since = None;
+        self.locality.better_since = None;
         let action = self.leadership.resign(now);
         if action.is_some() {
             let Reach { heard, known, .. } = reach;
@@ -101,12 +195,30 @@
         self.grant(action);
     }
 
-    /// Zones of which no node can be heard.
+    /// Whether the controllers of each zone answer this one.
+    fn zone_controllers(&self, now: Time) -> BTreeMap<String, ControllerReach> {
+        let mut zones = BTreeMap::new();
+        for (named, peer) in self.settings.peers.iter().zip(&self.peers) {
+            let reach = zones
+                .entry(named.zone.clone())
+                .or_insert(ControllerReach::Unreachable);
+            if peer.is_reachable(now) {
+                *reach = ControllerReach::Reachable;
+            }
+        }
+        zones.insert(self.settings.zone.clone(), ControllerReach::Reachable);
+        zones
+    }
+
+    /// Zones of which no node can be heard, or could until so short a while ago that their workers
+    /// have had no time to report.
     fn unheard_zones(&self, now: Time) -> Vec<String> {
+        let settling_time = self.settling_time();
         let named = || self.settings.peers.iter().zip(&self.peers);
         let heard = |zone: &str| {
+            let settled = |time: Duration| time >= settling_time;
             *zone == self.settings.zone
-                || named().any(|(n, p)| n.zone == zone && p.is_reachable(now))
+                || named().any(|(n, p)| n.zone == zone && p.reachable_for(now).is_some_and(settled))
         };
         let zones = named().map(|(n, _)| n.zone.clone());
         zones.filter(|z| !heard(z)).collect()
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod periodic;
 mod replies;
 mod requests;
+mod zone_isolation;
 
 use hdrhistogram::Histogram;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -29,6 +30,7 @@
 use api::{ApiAction, ApiRequestId, ApiServer, ApiStateRequest, Client, View};
 use heartbeats::PeerLink;
 use leader_duties::{LeaderDuties, LeaderRequest};
+use leader_locality::Locality;
 use lichencrank_store::Page;
 
 /// Whose request to the state service it was.
@@ -77,8 +79,7 @@
     types_due: Time,
     types_call: Option<CallId>,
     relays: HashMap<CallId, ApiRequestId>,
-    /// The zone that holds the most machines, as far as this node has heard.
-    home: Option<String>,
+    locality: Locality,
     /// What this node spends of the state service's budgets in a second, and what it had spent in
     /// all when that was last looked at.
     spends: (f64, f64),
@@ -94,8 +95,6 @@
     locality_at: Time,
     /// What was last said in the log about the state service.
     state_ok: bool,
-    /// Since when a peer in the home zone has been fit to lead while this node does.
-    better_since: Option<Time>,
     summary_at: Time,
     /// When this process was last seen to move.
     awake_at: Time,
@@ -177,7 +176,7 @@
             types_due: Time::default(),
             types_call: None,
             relays: HashMap::new(),
-            home: None,
+            locality: Locality::default(),
             spends: (0.0, 0.0),
             spent: (0.0, 0.0),
             spent_at: Time::default(),
@@ -187,7 +186,6 @@
             workers: BTreeMap::new(),
             locality_at: Time::default(),
             state_ok: false,
-            better_since: None,
             summary_at: Time::default(),
             awake_at: Time::default(),
             turns: turn_histogram(),
@@ -297,6 +295,7 @@
     }
 
     fn begin_leading(&mut self, term: Term, version: Version, now: Time) {
+        self.note_election_won(now);
         let service = &self.settings.settings;
         let rules = Policy::new(service, &self.tuning, &self.features);
         let controller = Controller::new(term, version, rules, self.types.clone(), now);
--- a/src/node/periodic.rs
+++ b/src/node/periodic.rs
@@ -39,6 +39,7 @@
         }
         if now >= self.locality_at {
             self.locality_at = now.after(LOCALITY_INTERVAL);
+            self.check_zone_isolation(now);
             self.check_leader_locality(now);
         }
         if now >= self.summary_at {
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -137,7 +137,10 @@
             let action = self.leadership.heard_of(report.token, None);
             self.grant(action);
         }
-        if let Some(token) = self.proxies_heartbeat(report.token, now) {
+        let proxied = self
+            .proxies_heartbeat(report.token, now)
+            .or_else(|| self.proxies_in_isolation(&report, now));
+        if let Some(token) = proxied {
             let orders = &self.stops_of_cancelled(&report);
             return Response::new(200, encode(&Answer { token, orders }));
         }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -59,6 +59,7 @@
         max_value: 16 * 1024,
         txn_ops: 16,
         quota: None,
+        zones: None,
         hurried: Vec::new(),
         teams: vec![Team {
             name: "open".into(),
--- a/tests/record_split.rs
+++ b/tests/record_split.rs
@@ -116,6 +116,7 @@
         max_value: 2048,
         txn_ops: 5,
         quota: None,
+        zones: None,
         hurried: Vec::new(),
         records: 100,
         teams: vec![Team {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -62,6 +62,7 @@
         max_value: 16 * 1024,
         txn_ops: 16,
         quota: None,
+        zones: None,
         hurried: Vec::new(),
         teams: vec![team("open", 0.0, 0.0), team("tight", 4.0, 8.0)],
         tuning: Tuning::default(),
