--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -134,6 +134,46 @@
     play("all_away", 1..5);
 }
 
+#[test]
+fn zone_keeps_leases() {
+    play("zone_keeps_leases", 1..5);
+}
+
+#[test]
+fn zone_flaps() {
+    play("zone_flaps", 1..5);
+}
+
+#[test]
+fn zone_returns_while_full() {
+    play("zone_returns_while_full", 1..5);
+}
+
+#[test]
+fn zone_of_the_leader() {
+    play("zone_of_the_leader", 1..5);
+}
+
+#[test]
+fn zone_and_state_service() {
+    play("zone_and_state_service", 1..5);
+}
+
+#[test]
+fn zone_services() {
+    play("zone_services", 1..5);
+}
+
+#[test]
+fn zones_three() {
+    play("zones_three", 1..5);
+}
+
+#[test]
+fn four_thousand_cut() {
+    play("four_thousand_cut", 1..2);
+}
+
 #[test]
 fn zone_cut() {
     play("zone_cut", 1..5);
@@ -222,6 +262,7 @@
         service: false,
         ends_everywhere: false,
         odd: false,
+        urgent: false,
     };
     change(&mut job);
     checker.see(0, Fact::Submitted(1, job));
--- a/tests/simulated/checker.rs
+++ b/tests/simulated/checker.rs
@@ -18,6 +18,8 @@
     pub ends_everywhere: bool,
     /// Bodies that lack a field or can't run may be refused, and must not be accepted.
     pub odd: bool,
+    /// Of high or critical priority.
+    pub urgent: bool,
 }
 
 /// What a user was told of a job.
@@ -157,7 +159,7 @@
         self.breaks(now, "quota", what);
     }
 
-    fn breaks(&mut self, now: u64, rule: &str, what: String) {
+    pub fn breaks(&mut self, now: u64, rule: &str, what: String) {
         self.broken
             .push(format!("{rule} at {:.2} s: {what}", now as f64 / 1000.0));
     }
@@ -365,6 +367,16 @@
         !self.rules.limits.is_empty() && limits.all(|(team, most)| used(team) >= *most)
     }
 
+    /// Whether its user has asked to cancel the job.
+    pub fn is_cancelled(&self, id: u64) -> bool {
+        self.jobs.get(&id).is_some_and(|known| known.cancel_asked)
+    }
+
+    /// Whether the job is of high or critical priority.
+    pub fn is_urgent(&self, id: u64) -> bool {
+        self.jobs.get(&id).is_some_and(|known| known.job.urgent)
+    }
+
     /// Whether the job's tasks run until it is cancelled.
     pub fn is_service(&self, id: u64) -> bool {
         self.jobs.get(&id).is_some_and(|known| known.job.service)
--- a/tests/simulated/cloud.rs
+++ b/tests/simulated/cloud.rs
@@ -3,7 +3,7 @@
 use ciborium::Value;
 use std::collections::BTreeMap;
 
-use super::script::Site;
+use super::site::Site;
 use super::worker::Worker;
 use lichencrank_testkit::values::map;
 
--- /dev/null
+++ b/tests/simulated/displacement.rs
@@ -0,0 +1,78 @@
+//! Judges which machines of a zone that is cut off are given up: how many, and in which order. Machines
+//! with cancelled work go by their own clock and are not judged.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lichencrank_zones::ZoneSettings;
+
+/// What a machine of the zone held when it was given up, as its worker knows.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Held {
+    pub urgent: usize,
+    /// Urgent work that ended during the cut, of which the leader can't know.
+    pub urgent_ended: usize,
+    pub other: usize,
+    pub cancelled: usize,
+}
+
+/// The present cut of a zone.
+#[derive(Debug, Default)]
+pub struct Displacement {
+    /// The most machines of the zone.
+    size: usize,
+    given_up_at: Vec<u64>,
+}
+
+const MINUTE_MS: u64 = 60_000;
+/// Replicas may be given up for machines that fail by themselves meanwhile.
+const SLACK: f64 = 1.0;
+
+impl Displacement {
+    /// A cut begins in a zone of so many machines.
+    pub fn begin(&mut self, machines: usize) {
+        self.size = self.size.max(machines);
+    }
+
+    /// A machine was given up while others of the zone stayed. The error says which rule that broke.
+    pub fn given_up(
+        &mut self,
+        now: u64,
+        host: &str,
+        held: Held,
+        staying: &BTreeMap<String, Held>,
+        together: &BTreeSet<String>,
+    ) -> Result<(), String> {
+        if held.cancelled > 0 {
+            return Ok(());
+        }
+        self.given_up_at.push(now);
+        self.judge_budget(now)?;
+        let waits = |(name, other): (&String, &Held)| {
+            let more_urgent = other.urgent > 0 && other.cancelled == 0;
+            (more_urgent && !together.contains(name)).then(|| name.clone())
+        };
+        if held.urgent + held.urgent_ended == 0 && held.other > 0 {
+            if let Some(waiting) = staying.iter().find_map(waits) {
+                return Err(format!("{host} before {waiting}, which holds urgent work"));
+            }
+        }
+        Ok(())
+    }
+
+    /// A new leader begins with a full budget for what may go at once.
+    fn judge_budget(&self, now: u64) -> Result<(), String> {
+        let settings = ZoneSettings::default();
+        let size = self.size as f64;
+        let at_once = (size * settings.displaced_at_once).max(2.0);
+        let per_minute = (size * settings.displaced_per_minute).max(6.0);
+        let recent = self
+            .given_up_at
+            .iter()
+            .filter(|at| now - **at < MINUTE_MS)
+            .count();
+        if recent as f64 > at_once * 2.0 + per_minute + SLACK {
+            return Err(format!("{recent} machines of {size} given up in a minute"));
+        }
+        Ok(())
+    }
+}
--- a/tests/simulated/mod.rs
+++ b/tests/simulated/mod.rs
@@ -4,11 +4,13 @@
 
 pub mod checker;
 mod cloud;
+pub mod displacement;
 mod embedder;
 pub mod network;
 pub mod process;
 mod rollout;
 pub mod script;
+pub mod site;
 mod troubles;
 mod users;
 pub mod worker;
@@ -23,12 +25,14 @@
 
 use checker::{Checker, Fact, Rules};
 use cloud::Cloud;
+use displacement::{Displacement, Held};
 use lichencrank_testkit::state_service::{self, hold_ms, Limits, StateService};
 use lichencrank_testkit::values::{self, get, number, text};
 use network::{Call, Out, SimNet};
 use process::{Launcher, Process, Start, Version};
 use rollout::UpgradeOrder;
-use script::{Script, Site};
+use script::Script;
+use site::Site;
 use users::Users;
 use worker::{Deed, Worker};
 
@@ -136,6 +140,9 @@
     /// Until when zones can't reach each other, and until when one is cut off from all else.
     zones_apart: u64,
     zone_cut: (String, u64),
+    /// When it was cut off.
+    zone_cut_at: u64,
+    displacement: Displacement,
 }
 
 /// The requests and changes that the state service still takes this second.
@@ -206,6 +213,8 @@
 const WORKERS_EVERY: u64 = 50;
 const STATE_EVERY: u64 = 10;
 const LOOK_EVERY: u64 = 250;
+/// By then a leader has noticed that a zone is cut off.
+const NOTICED_MS: u64 = 15_000;
 
 impl World {
     pub fn new(site: Site, seed: u64, launcher: Launcher) -> World {
@@ -845,8 +854,13 @@
             ("GET", "/machine_types") => (200, self.site.types()),
             ("POST", "/hosts") => self.rented(&body),
             ("POST", "/hosts/release") => {
-                for name in values::list(&body, "hosts") {
-                    self.gone(name.as_text().unwrap_or(""));
+                let names = values::list(&body, "hosts").into_iter();
+                let names: Vec<String> = names
+                    .filter_map(|name| name.as_text().map(str::to_owned))
+                    .collect();
+                self.judge_release(&names);
+                for name in names {
+                    self.gone(&name);
                 }
                 (200, values::map(vec![]))
             }
@@ -864,6 +878,9 @@
         }
         let spot = get(body, "loaners").and_then(Value::as_bool) == Some(true);
         let (kind, zone) = (text(body, "hosttype"), text(body, "hall"));
+        if self.is_cut_off(&zone) && self.now() > self.troubles.zone_cut_at + NOTICED_MS {
+            self.mark("rented-in-cut-zone");
+        }
         let room = self.site.market.saturating_sub(self.cloud.there());
         let count = number(body, "howMany").min(room as u64);
         if count == 0 {
@@ -876,6 +893,50 @@
         (200, answer)
     }
 
+    /// Machines that the leader returns: what it gives up of a zone that is cut off is judged.
+    fn judge_release(&mut self, names: &[String]) {
+        let now = self.now();
+        let zone = self.troubles.zone_cut.0.clone();
+        if !self.site.tracks_zones || !self.is_cut_off(&zone) {
+            return;
+        }
+        let in_zone = self.workers.values().filter(|worker| worker.zone == zone);
+        let mut held: BTreeMap<String, Held> = in_zone
+            .map(|worker| (worker.name.clone(), self.held_by(worker)))
+            .collect();
+        let together: BTreeSet<String> = names.iter().cloned().collect();
+        for name in names {
+            let Some(of_host) = held.remove(name) else {
+                continue;
+            };
+            self.mark("given-up-in-cut");
+            let displacement = &mut self.troubles.displacement;
+            if let Err(why) = displacement.given_up(now, name, of_host, &held, &together) {
+                self.checker.breaks(now, "displacement", why);
+            }
+        }
+    }
+
+    fn held_by(&self, worker: &Worker) -> Held {
+        let mut held = Held::default();
+        for piece in &worker.pieces {
+            let Some((job, _)) = users::task_of(&piece.task) else {
+                continue;
+            };
+            let ended = matches!(piece.state, worker::State::Ended { .. });
+            if self.checker.is_cancelled(job) {
+                held.cancelled += 1;
+            } else if self.checker.is_urgent(job) && ended {
+                held.urgent_ended += 1;
+            } else if self.checker.is_urgent(job) {
+                held.urgent += 1;
+            } else {
+                held.other += 1;
+            }
+        }
+        held
+    }
+
     /// The machine and all on it are no more.
     fn gone(&mut self, name: &str) {
         let now = self.now();
@@ -960,7 +1021,12 @@
             worker.resumed(now - worker.moved);
         }
         worker.moved = now;
+        let session = worker.session;
+        let held_work = worker.holds_work();
         worker.pass(now);
+        if worker.session > session && held_work {
+            self.mark("lease-ended");
+        }
         for (from, body) in worker.take_held() {
             self.command(worker, from, &body);
         }
--- a/tests/simulated/troubles.rs
+++ b/tests/simulated/troubles.rs
@@ -95,7 +95,12 @@
             Deed::CloudAway(for_ms) => self.troubles.cloud_away = now + for_ms,
             Deed::Boot(boot_ms) => self.cloud.boot_ms = Some(boot_ms),
             Deed::ZonesApart(for_ms) => self.troubles.zones_apart = now + for_ms,
-            Deed::ZoneCut(zone, for_ms) => self.troubles.zone_cut = (zone, now + for_ms),
+            Deed::ZoneCut(zone, for_ms) => {
+                let in_zone = self.workers.values().filter(|w| w.zone == zone);
+                self.troubles.displacement.begin(in_zone.count());
+                self.troubles.zone_cut = (zone, now + for_ms);
+                self.troubles.zone_cut_at = now;
+            }
             other => unreachable!("{other:?} is no trouble that lasts"),
         }
     }
@@ -134,6 +139,7 @@
             service: shape.service,
             ends_everywhere: shape.replicas_end_ms.is_some(),
             odd: odd > 0,
+            urgent: matches!(shape.urgency.as_str(), "high" | "critical"),
         };
         self.checker.see(now, Fact::Submitted(id, known));
         self.user_at(at, id, Asked::Submission, None, true);
--- a/tests/simulated/worker.rs
+++ b/tests/simulated/worker.rs
@@ -115,6 +115,17 @@
         self.next_report = now;
     }
 
+    /// Tasks that are here and have not ended.
+    pub fn present(&self) -> impl Iterator<Item = &str> {
+        let there = self.pieces.iter();
+        let there = there.filter(|p| !matches!(p.state, State::Ended { .. }));
+        there.map(|p| p.task.as_str())
+    }
+
+    pub fn holds_work(&self) -> bool {
+        self.present().next().is_some()
+    }
+
     fn free(&self) -> f64 {
         let there = self.pieces.iter();
         let there = there.filter(|p| !matches!(p.state, State::Ended { .. }));
