--- a/src/coordination/zones.rs
+++ b/src/coordination/zones.rs
@@ -14,8 +14,8 @@
 pub(super) const LATE_FACTOR: f64 = 1.8;
 /// Urgent work in a lost zone is given up after so many leases of silence, other work after more. Until
 /// then it may be running: a controller in the zone answers its worker.
-const URGENT_LEASES: u32 = 2;
-const USUAL_LEASES: u32 = 3;
+const URGENT_LEASES: f64 = 2.5;
+const USUAL_LEASES: f64 = 3.0;
 
 /// The zones as the leader sees them, where that feature is on.
 pub(super) struct Zones {
@@ -170,8 +170,8 @@
         match state {
             // The zone has been back for long enough for every worker to report.
             Some((ZoneState::Returning, lasted)) if lasted > settling => self.rules.silent_limit(),
-            _ if self.holds_urgent_work(host) => self.rules.lease * URGENT_LEASES,
-            _ => self.rules.lease * USUAL_LEASES,
+            _ if self.holds_urgent_work(host) => self.rules.lease.mul_f64(URGENT_LEASES),
+            _ => self.rules.lease.mul_f64(USUAL_LEASES),
         }
     }
 
--- a/src/node/leader_locality.rs
+++ b/src/node/leader_locality.rs
@@ -36,9 +36,18 @@
     won_without_home: Option<Time>,
 }
 
+/// After one cut no leader moves to the home zone for three minutes, after several for longer.
+fn home_damping() -> DampingSettings {
+    DampingSettings {
+        half_life_s: 180.0,
+        reuse: 500.0,
+        ..DampingSettings::default()
+    }
+}
+
 impl HomeFlaps {
     fn update(&mut self, reachable: bool, now: Time) {
-        let settings = DampingSettings::default();
+        let settings = home_damping();
         if self.was_reachable && !reachable {
             self.damping.on_loss(now, &settings);
         }
@@ -46,11 +55,11 @@
         self.damping.update(now, &settings);
     }
 
-    /// How long a better placed peer must have been fit: longer after every cut of late.
-    fn transfer_after(&self, now: Time) -> Duration {
-        let settings = DampingSettings::default();
-        let cuts = self.damping.penalty(now, &settings) / settings.per_loss;
-        TRANSFER_AFTER.mul_f64(1.0 + cuts)
+    /// Whether the home zone was out of reach lately. It may be again soon, and then a leader there
+    /// would have to be replaced.
+    fn is_unsteady(&self, now: Time) -> bool {
+        let settings = home_damping();
+        self.damping.penalty(now, &settings) >= settings.reuse
     }
 
     /// Whether the nodes of the home zone can't claim a free key while they can't be heard.
@@ -106,10 +115,9 @@
         } else {
             self.locality.better_since = None;
         }
-        let calm = self
-            .locality
-            .better_since
-            .is_some_and(|at| now.since(at) >= self.locality.home_flaps.transfer_after(now));
+        let waited = self.locality.better_since.map(|at| now.since(at));
+        let calm = waited.is_some_and(|waited| waited >= TRANSFER_AFTER)
+            && !self.locality.home_flaps.is_unsteady(now);
         // Cut off from the home zone, its nodes can't be heard either; they will find the key free.
         // Unless one of our own zone has just tried that in vain.
         let away = !self.is_at_home()
--- a/tests/simulated/mod.rs
+++ b/tests/simulated/mod.rs
@@ -854,7 +854,7 @@
             ("GET", "/machine_types") => (200, self.site.types()),
             ("POST", "/hosts") => self.rented(&body),
             ("POST", "/hosts/release") => {
-                let names = values::list(&body, "hosts").into_iter();
+                let names = values::list(&body, "hosts").iter();
                 let names: Vec<String> = names
                     .filter_map(|name| name.as_text().map(str::to_owned))
                     .collect();
