--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod transport;
 pub mod tuning;
 pub mod types;
+pub mod zones_report;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use lichencrank::features::Features;
 use lichencrank::settings::{Settings, Tuning};
-use lichencrank::{logging, node::Node, quota_report};
+use lichencrank::{logging, node::Node, quota_report, zones_report};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -10,6 +10,7 @@
 const FEATURES: &str = "features";
 const CHECK: &str = "check";
 const QUOTA: &str = "quota";
+const ZONES: &str = "zones";
 
 fn file(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
@@ -38,6 +39,11 @@
         .subcommand(
             Command::new(QUOTA)
                 .about("Shows limits, guarantees, allowances and use of the teams, from the state service")
+                .arg(config.clone()),
+        )
+        .subcommand(
+            Command::new(ZONES)
+                .about("Shows the state of every zone, its penalty and what waits, from the state service")
                 .arg(config),
         )
 }
@@ -48,6 +54,11 @@
         print!("{}", quota_report::report(&settings)?);
         return Ok(());
     }
+    if let Some(args) = args.subcommand_matches(ZONES) {
+        let settings = load_settings(args)?;
+        print!("{}", zones_report::report(&settings)?);
+        return Ok(());
+    }
     let settings = load_settings(args)?;
     let tuning = match args.get_one::<PathBuf>(TUNING) {
         Some(file) => Tuning::load(file)?,
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -174,6 +174,16 @@
     play("four_thousand_cut", 1..2);
 }
 
+#[test]
+fn zone_home_cut() {
+    play("zone_home_cut", 1..5);
+}
+
+#[test]
+fn zone_cut_cloud_away() {
+    play("zone_cut_cloud_away", 1..5);
+}
+
 #[test]
 fn zone_cut() {
     play("zone_cut", 1..5);
--- a/tests/features.rs
+++ b/tests/features.rs
@@ -54,3 +54,42 @@
         assert!(error.contains(field), "{text}: {error}");
     }
 }
+
+#[test]
+fn zones_have_defaults_and_are_off() {
+    assert!(Features::default().zones.settings_if_enabled().is_none());
+    let text = "zones: {enabled: true, settings: {lost_after_s: 9, damping: {half_life_s: 60}}}";
+    let settings = Features::parse(text)
+        .expect("zones")
+        .zones
+        .settings_if_enabled();
+    let settings = settings.expect("they are on");
+    assert_eq!(
+        (settings.lost_after_s, settings.damping.half_life_s),
+        (9.0, 60.0)
+    );
+    assert_eq!(settings.return_window_s, 15.0);
+}
+
+#[test]
+fn zone_settings_are_checked_by_name() {
+    let wrong = [
+        (
+            "zones: {enabled: true, settings: {displaced_at_once: 0}}",
+            "displaced_at_once",
+        ),
+        (
+            "zones: {enabled: true, settings: {damping: {reuse: 5000}}}",
+            "damping.reuse",
+        ),
+        (
+            "zones: {enabled: true, settings: {lost_after: 3}}",
+            "lost_after",
+        ),
+        ("zones: {settings: {lost_after_s: 3}}", "zones.settings"),
+    ];
+    for (text, field) in wrong {
+        let error = Features::parse(text).expect_err(text);
+        assert!(error.contains(field), "{error}");
+    }
+}
--- a/tests/simulated/mod.rs
+++ b/tests/simulated/mod.rs
@@ -215,6 +215,8 @@
 const LOOK_EVERY: u64 = 250;
 /// By then a leader has noticed that a zone is cut off.
 const NOTICED_MS: u64 = 15_000;
+/// A healthy worker has reported by then after a cut.
+const RETURNED_MS: u64 = 8_000;
 
 impl World {
     pub fn new(site: Site, seed: u64, launcher: Launcher) -> World {
@@ -780,6 +782,14 @@
         }
     }
 
+    /// Whether nothing keeps that node from leading.
+    fn could_go_on(&self, node: usize) -> bool {
+        let slot = &self.slots[node];
+        let now = self.now();
+        let halted = slot.halted > now;
+        slot.node.is_some() && !halted && !self.is_cut_off(&slot.settings.zone)
+    }
+
     /// Who leads, by the state service's word.
     fn see_leader(&mut self) {
         let term = self
@@ -789,7 +799,10 @@
         let holder = self.state.peek("lead/holder").map(|h| text(h, "node"));
         let named = |h: String| self.slots.iter().position(|s| s.settings.name == h);
         if let Some(leader) = holder.and_then(named) {
-            self.leader = Some(leader);
+            let before = self.leader.replace(leader);
+            if before.is_some_and(|node| node != leader && self.could_go_on(node)) {
+                self.mark("moved");
+            }
         }
         if term == self.term {
             return;
@@ -896,7 +909,10 @@
     /// Machines that the leader returns: what it gives up of a zone that is cut off is judged.
     fn judge_release(&mut self, names: &[String]) {
         let now = self.now();
-        let zone = self.troubles.zone_cut.0.clone();
+        let (zone, cut_until) = self.troubles.zone_cut.clone();
+        if (cut_until..cut_until + RETURNED_MS).contains(&now) {
+            self.mark_given_up_after_return(&zone, names);
+        }
         if !self.site.tracks_zones || !self.is_cut_off(&zone) {
             return;
         }
@@ -917,6 +933,20 @@
         }
     }
 
+    /// The zone is back, and its healthy workers are about to report.
+    fn mark_given_up_after_return(&mut self, zone: &str, names: &[String]) {
+        let given_up = names.iter().filter(|name| {
+            let worker = self.workers.get(*name).filter(|worker| worker.zone == zone);
+            worker.is_some_and(|worker| {
+                let held = self.held_by(worker);
+                held.cancelled == 0 && held.urgent + held.other > 0
+            })
+        });
+        for _ in 0..given_up.count() {
+            self.mark("given-up-after-return");
+        }
+    }
+
     fn held_by(&self, worker: &Worker) -> Held {
         let mut held = Held::default();
         for piece in &worker.pieces {
