--- a/crates/zones/tests/displacement.rs
+++ b/crates/zones/tests/displacement.rs
@@ -17,6 +17,19 @@
     world
 }
 
+/// Zone b was lost five times within 40 s, and is back.
+fn flapped_five_times() -> World {
+    let mut world = World::new();
+    world
+        .see("a", observation(20, 0))
+        .see("b", observation(20, 0));
+    for _ in 0..5 {
+        world.see("b", unreachable(20, 20)).after(6.0);
+        world.see("b", observation(20, 0)).after(2.0);
+    }
+    world
+}
+
 fn displace(world: &mut World, work: &[Urgency]) -> Vec<usize> {
     let candidates = work.iter().enumerate().map(|(machine, urgency)| Candidate {
         machine,
@@ -103,14 +116,7 @@
 /// threshold. A few losses far apart never suppress.
 #[test]
 fn a_zone_that_flaps_is_suppressed_and_reused() {
-    let mut world = World::new();
-    world
-        .see("a", observation(20, 0))
-        .see("b", observation(20, 0));
-    for _ in 0..5 {
-        world.see("b", unreachable(20, 20)).after(6.0);
-        world.see("b", observation(20, 0)).after(2.0);
-    }
+    let mut world = flapped_five_times();
     assert!(world.is_suppressed("b"));
     assert_eq!(world.tracker.tasks_left("b", world.now), Some(0));
     assert!(!world.tracker.may_rent_in("b"));
@@ -159,14 +165,7 @@
 
 #[test]
 fn the_next_leader_continues_with_state_penalty_and_suppression() {
-    let mut world = World::new();
-    world
-        .see("a", observation(20, 0))
-        .see("b", observation(20, 0));
-    for _ in 0..5 {
-        world.see("b", unreachable(20, 20)).after(6.0);
-        world.see("b", observation(20, 0)).after(2.0);
-    }
+    let mut world = flapped_five_times();
     let record = world
         .tracker
         .record_due(world.now, DAY_MS)
--- a/src/coordination/forecast.rs
+++ b/src/coordination/forecast.rs
@@ -4,28 +4,15 @@
 use std::collections::BTreeMap;
 
 use super::fleet::{Market, ARRIVALS_FOR};
-use super::placement::{self, capacity};
+use super::markets::{Outlook, MARGIN_S};
 use super::resources::Resources;
+use super::scoring;
 use super::timeline::{Starts, Timeline};
 use super::Controller;
 use crate::protocol::cloud::MAX_RENTAL;
-use crate::protocol::users::{JobSpec, Priority};
+use crate::protocol::users::JobSpec;
 use crate::types::Time;
 
-/// A deadline is taken for kept if the forecast leaves this much.
-const MARGIN_S: f64 = 3.0;
-/// The longest of a job's tasks takes this much more than the expected one, as a share.
-const MARGIN_SHARE: f64 = 1.0;
-/// How long late work waits for room rather than for a machine of its own.
-const LATE_PATIENCE_S: f64 = 45.0;
-/// How much more a machine may cost that keeps a deadline which another would miss.
-const LATE_FACTOR: f64 = 2.0;
-/// How long work that may use spot machines waits for one before an ordinary one is rented.
-const ORDINARY_AFTER_S: f64 = 180.0;
-/// For a service a machine that takes this much longer to come is worth half as much.
-const URGENCY_S: f64 = 60.0;
-/// The cloud charges a machine for so long at the least.
-const LEAST_CHARGED_S: f64 = 60.0;
 /// Tasks that one forecast looks at.
 const MAX_FORECAST: u32 = 8000;
 /// Machines that one forecast may ask of a market; they go out in requests of [`MAX_RENTAL`].
@@ -34,16 +21,6 @@
 /// stay away the next time, and are not rented for. Where few come, little is sure.
 const CHANCE: f64 = 1.0;
 
-/// What the forecast says of a waiting task; times are seconds from now.
-struct Outlook {
-    /// When it would start on the machines that are here or coming.
-    start: f64,
-    run: f64,
-    due: Option<f64>,
-    /// How many of the job's tasks wait, with this one.
-    left: u64,
-}
-
 /// Tasks that the forecast has to find room for; times are seconds from now.
 struct Work<'a> {
     spec: &'a JobSpec,
@@ -225,7 +202,7 @@
             overflow_ready = self.least_ready(work.spec, &only);
         }
         let mut options = Options {
-            need: placement::need(work.spec),
+            need: scoring::need(work.spec),
             starts: Starts::of(&forecast.timelines, work.spec, &usable),
             least_ready: self.least_ready(work.spec, &usable),
             usable,
@@ -342,100 +319,4 @@
         })
         .filter(|w| w.tasks > 0)
     }
-
-    /// The market to rent from, if the task would start too late otherwise.
-    fn worth_renting(
-        &self,
-        spec: &JobSpec,
-        outlook: &Outlook,
-        usable: &[bool],
-        now: Time,
-    ) -> Option<Market> {
-        let Outlook {
-            start, run, due, ..
-        } = *outlook;
-        if due.is_some_and(|due| start + run * (1.0 + MARGIN_SHARE) + MARGIN_S <= due) {
-            return None;
-        }
-        let market = self.cheapest(spec, outlook, usable, now)?;
-        let ready = self.ready_after(spec, market.0);
-        let in_time = due.is_some_and(|due| ready + run <= due);
-        // Work that is late either way still has to be done, but without hurry.
-        let gained = if in_time || spec.is_service() {
-            0.0
-        } else {
-            LATE_PATIENCE_S
-        };
-        (ready + gained < start).then_some(market)
-    }
-
-    /// How soon a task of the job could start on any machine rented now.
-    pub(super) fn least_ready(&self, spec: &JobSpec, usable: &[bool]) -> f64 {
-        let kinds = (0..self.types.len()).filter(|k| usable[*k]);
-        kinds
-            .map(|kind| self.ready_after(spec, kind))
-            .fold(f64::INFINITY, f64::min)
-    }
-
-    /// The market with the lowest cost per task, counting boot and fetch.
-    fn cheapest(
-        &self,
-        spec: &JobSpec,
-        outlook: &Outlook,
-        usable: &[bool],
-        now: Time,
-    ) -> Option<Market> {
-        let need = placement::need(spec);
-        // Spot machines serve nearly as well at a third of the price: for work that may use them,
-        // an ordinary one is worth its price only when there are none, and the wait is long.
-        let spot_left = usable.iter().enumerate().any(|(kind, usable)| {
-            let mut zones = self.types[kind].zones.iter();
-            *usable && zones.any(|z| !self.is_closed(&(kind, z.clone(), true), now))
-        });
-        // Work of the lowest priority is there to use what is cheap.
-        let worth = spec.priority != Priority::Low;
-        let ordinary = !spec.spot || (worth && !spot_left && outlook.start > ORDINARY_AFTER_S);
-        let mut best: Option<(f64, Market)> = None;
-        for (kind, t) in self.types.iter().enumerate().filter(|(k, _)| usable[*k]) {
-            let fits = need.times_in(&capacity(t)).max(1);
-            let span = self.ready_after(spec, kind) + outlook.run;
-            let in_time = outlook.due.is_some_and(|due| span <= due);
-            let zones = t.zones.iter();
-            for zone in zones.filter(|z| spec.zone.as_ref().is_none_or(|s| s == *z)) {
-                for spot in [true, false] {
-                    let market = (kind, zone.clone(), spot);
-                    let busy = self.fleet.rentals.values().any(|r| r.market == market);
-                    let allowed = if spot { spec.spot } else { ordinary };
-                    if self.is_closed(&market, now) || busy || !allowed {
-                        continue;
-                    }
-                    let price = if spot { t.spot_price.0 } else { t.price.0 };
-                    let machine = price * span.max(LEAST_CHARGED_S);
-                    // What a service leaves of a machine others use; that it is there soon counts more.
-                    let cost = if spec.is_service() {
-                        let ready = self.ready_after(spec, kind);
-                        machine / fits as f64 * self.urgency_factor(ready)
-                    } else {
-                        machine / fits.min(outlook.left) as f64
-                    };
-                    let cost = if in_time { cost } else { cost * LATE_FACTOR };
-                    if best.as_ref().is_none_or(|(c, _)| cost < *c) {
-                        best = Some((cost, market));
-                    }
-                }
-            }
-        }
-        best.map(|(_, market)| market)
-    }
-
-    /// How much dearer a machine may be that is there sooner.
-    pub(super) fn urgency_factor(&self, ready: f64) -> f64 {
-        1.0 + ready / URGENCY_S
-    }
-
-    /// How long a machine rented now takes until a task of the job can start on it.
-    fn ready_after(&self, spec: &JobSpec, kind: usize) -> f64 {
-        let t = &self.types[kind];
-        t.boot_s.0 + spec.image_gb.0 / t.fetch_gb_per_s.0.max(0.01)
-    }
 }
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -5,8 +5,8 @@
 
 use super::hosts::{Booking, Host, StopWhy};
 use super::jobs::Job;
-use super::placement::capacity;
 use super::resources::Resources;
+use super::scoring::capacity;
 use super::Controller;
 use crate::protocol::users::{JobSpec, Priority};
 use crate::types::{seconds, HostName, TaskId, Time};
--- a/src/coordination/ranking.rs
+++ b/src/coordination/ranking.rs
@@ -4,11 +4,13 @@
 
 use super::hosts::HostLifecycle;
 use super::jobs::{Job, JobPhase};
-use super::placement::MAX_LIFTED;
 use super::Controller;
 use crate::protocol::users::{JobSpec, Priority};
 use crate::types::{seconds, JobId, Version};
 
+/// Jobs that waited too long and go before all others at one time.
+const MAX_LIFTED: usize = 8;
+
 /// Jobs in the order in which they are served: those that have waited too long for a first start
 /// go first, whatever they are, so that nothing starves; then those within their team's guarantee don't wait for
 /// work that others run on borrowed machines; then priority; then those that can still be in time,
--- a/src/coordination/scaling.rs
+++ b/src/coordination/scaling.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::hosts::{Cordon, HostLifecycle};
-use super::placement::capacity;
+use super::scoring::capacity;
 use super::Controller;
 use crate::types::{seconds, HostName, Time};
 
--- a/src/coordination/services.rs
+++ b/src/coordination/services.rs
@@ -6,7 +6,7 @@
 
 use super::hosts::{Cordon, Host, HostLifecycle, Reachability, StopWhy};
 use super::jobs::{Job, JobPhase};
-use super::placement::{self, capacity};
+use super::scoring::{self, capacity};
 use super::Controller;
 use crate::protocol::users::JobSpec;
 use crate::types::{seconds, HostName, TaskId, Time};
@@ -232,14 +232,14 @@
         let Some(spec) = self.jobs.get(&task.job).and_then(|j| j.spec.as_ref()) else {
             return false;
         };
-        let need = placement::need(spec);
+        let need = scoring::need(spec);
         self.hosts.values().any(|host| {
             let kind = host.kind.and_then(|k| self.types.get(k));
             host.name != but.name
                 && self.is_open(host, now)
                 && (spec.spot || !host.spot)
                 && kind.is_some_and(|t| {
-                    placement::type_suits(spec, t) && need.fits(&capacity(t).minus(&host.used))
+                    scoring::type_suits(spec, t) && need.fits(&capacity(t).minus(&host.used))
                 })
         })
     }
--- a/src/coordination/summary.rs
+++ b/src/coordination/summary.rs
@@ -62,7 +62,7 @@
         } else {
             let suits = |h: &&Host| {
                 let kind = h.kind.and_then(|k| self.types.get(k));
-                kind.is_some_and(|t| placement::type_suits(spec, t)) && (spec.spot || !h.spot)
+                kind.is_some_and(|t| scoring::type_suits(spec, t)) && (spec.spot || !h.spot)
             };
             let count = |life| {
                 let hosts = self.hosts.values().filter(suits);
--- a/src/coordination/timeline.rs
+++ b/src/coordination/timeline.rs
@@ -5,8 +5,8 @@
 
 use super::fleet::Market;
 use super::hosts::{Cordon, Host, HostLifecycle};
-use super::placement::{self, capacity};
 use super::resources::Resources;
+use super::scoring::{self, capacity};
 use super::Controller;
 use crate::protocol::users::JobSpec;
 use crate::types::Time;
@@ -67,7 +67,7 @@
 
 impl Starts {
     pub(super) fn of(timelines: &[Timeline], spec: &JobSpec, usable: &[bool]) -> Starts {
-        let need = placement::need(spec);
+        let need = scoring::need(spec);
         let suits = |timeline: &Timeline| {
             usable[timeline.kind]
                 && (spec.spot || !timeline.spot)
--- a/src/coordination/type_eligibility.rs
+++ b/src/coordination/type_eligibility.rs
@@ -1,7 +1,7 @@
 //! Which machine types the tasks of a job may use, with regard to work that has no other type.
 
 use super::jobs::JobPhase;
-use super::placement::type_suits;
+use super::scoring::type_suits;
 use super::Controller;
 use crate::protocol::users::JobSpec;
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -5,8 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use lichencrank::coordination::placement::{capacity, score};
 use lichencrank::coordination::resources::Resources;
+use lichencrank::coordination::scoring::{capacity, score};
 use lichencrank::coordination::{Controller, Policy};
 use lichencrank::protocol::cloud::MachineType;
 use lichencrank::protocol::users::{JobSpec, Priority, Shape};
