Cuts are judged by machines, not by one node that is away; the watch of machines in smaller steps

Change: machines get time to report after most of their zone were silent, not after a node came back; a cut of the home zone counts only while most machines are out of reach too.

--- a/crates/zones/tests/displacement.rs
+++ b/crates/zones/tests/displacement.rs
@@ -165,7 +165,7 @@
 
 #[test]
 fn the_next_leader_continues_with_state_penalty_and_suppression() {
-    let mut world = flapped_five_times();
+    let world = flapped_five_times();
     let record = world
         .tracker
         .record_due(world.now, DAY_MS)
--- a/src/coordination/failure_detector.rs
+++ b/src/coordination/failure_detector.rs
@@ -19,6 +19,8 @@
 /// A worker whose controller does not answer is heard again at the latest so long after its report was
 /// due: it waits 4 s for the answer and 1 s before it tries the next one, which may send it on.
 const LONGEST_RETRY: Duration = Duration::from_millis(6500);
+/// Fewer silent machines than this are broken rather than cut off.
+const FEW_MACHINES: usize = 3;
 /// How long a machine of an unknown type boots.
 const UNKNOWN_BOOT_S: f64 = 60.0;
 /// Reports come at the latest after this many intervals.
@@ -31,32 +33,30 @@
 
 impl Controller {
     pub(super) fn watch_hosts(&mut self, now: Time, may_act: bool) {
-        // In a cut the first machine is past the limit while the others are merely late: all that
-        // missed a report count, or each would be given up alone, one after the other.
-        let late = self.rules.report.mul_f64(LATE_FACTOR);
-        let mut by_zone: BTreeMap<String, (usize, usize)> = BTreeMap::new();
-        let mut everywhere = (0, 0);
         self.note_silence(now);
         self.observe_zones(now);
-        for host in self.hosts.values() {
-            if matches!(host.lifecycle, HostLifecycle::Up | HostLifecycle::Silent) {
-                let deaf = matches!(host.reachability, Reachability::HalfOpen { .. });
-                let gone = usize::from(deaf || now.since(host.heard_at) > late);
-                let (silent, all) = by_zone.entry(host.zone.clone()).or_default();
-                *all += 1;
-                *silent += gone;
-                everywhere.0 += gone;
-                everywhere.1 += 1;
-            }
-        }
-        // Of machines that only the records of an earlier leader name the zone is not known. They are
-        // all silent, but no zone of their own: that would look like a cut for ever.
-        by_zone.insert(String::new(), everywhere);
+        self.note_cut_zones(now);
         self.remove_overdue(now);
         if !may_act {
             return;
         }
         self.probe(now);
+        for (name, why) in self.hosts_to_give_up(now) {
+            let host = self.hosts.get_mut(&name);
+            if let Some(host) = host.filter(|h| h.lifecycle != HostLifecycle::Releasing) {
+                tracing::info!(
+                    "{name}: given up, {:?}, {} booked",
+                    host.lifecycle,
+                    host.bookings.len()
+                );
+                host.cordon(why);
+                host.enter(HostLifecycle::Releasing);
+                self.fleet.release(name);
+            }
+        }
+    }
+
+    fn hosts_to_give_up(&mut self, now: Time) -> Vec<(HostName, Cordon)> {
         let displaced = self.displaced_hosts(now);
         let mut give_up: Vec<(HostName, Cordon)> = displaced
             .into_iter()
@@ -66,27 +66,56 @@
             if host.lifecycle == HostLifecycle::Releasing {
                 continue;
             }
-            if self.host_is_lost(host, &by_zone, now) || self.holds_a_cancelled_task(host, now) {
+            if self.host_is_lost(host, now) || self.holds_a_cancelled_task(host, now) {
                 give_up.push((host.name.clone(), Cordon::Lost));
             } else if host.cordon == Some(Cordon::Sick) {
                 give_up.push((host.name.clone(), Cordon::Sick));
             }
         }
-        for (name, why) in give_up {
-            let host = self.hosts.get_mut(&name);
-            if let Some(host) = host.filter(|h| h.lifecycle != HostLifecycle::Releasing) {
-                tracing::info!(
-                    "{name}: given up, {:?}, {} booked",
-                    host.lifecycle,
-                    host.bookings.len()
-                );
-                host.cordon(why);
-                host.enter(HostLifecycle::Releasing);
-                self.fleet.release(name);
+        give_up
+    }
+
+    /// How many machines of each zone are silent, and how many there are. In a cut the first machine is
+    /// past the limit while the others are merely late: all that missed a report count, or each would be
+    /// given up alone, one after the other.
+    fn silence_by_zone(&self, now: Time) -> BTreeMap<String, (usize, usize)> {
+        let late = self.rules.report.mul_f64(LATE_FACTOR);
+        let mut by_zone: BTreeMap<String, (usize, usize)> = BTreeMap::new();
+        let mut everywhere = (0, 0);
+        for host in self.hosts.values() {
+            if matches!(host.lifecycle, HostLifecycle::Up | HostLifecycle::Silent) {
+                let deaf = matches!(host.reachability, Reachability::HalfOpen { .. });
+                let gone = usize::from(deaf || now.since(host.heard_at) > late);
+                let (silent, all) = by_zone.entry(host.zone.clone()).or_default();
+                *all += 1;
+                *silent += gone;
+                everywhere.0 += gone;
+                everywhere.1 += 1;
+            }
+        }
+        // Of machines that only the records of an earlier leader name the zone is not known. They are
+        // all silent, but no zone of their own: that would look like a cut for ever.
+        by_zone.insert(String::new(), everywhere);
+        by_zone
+    }
+
+    /// Many machines at once are cut off rather than broken.
+    fn note_cut_zones(&mut self, now: Time) {
+        for (zone, (silent, all)) in self.silence_by_zone(now) {
+            if silent >= FEW_MACHINES && silent * 2 > all {
+                self.cut_zones.insert(zone, now);
             }
         }
     }
 
+    /// Whether most machines of the zone are silent, or were until so short a while ago that the others
+    /// have had no time to report.
+    fn is_cut_off(&self, zone: &str, now: Time) -> bool {
+        let settling_time = longest_report_delay(self.rules.report);
+        let seen_at = self.cut_zones.get(zone);
+        seen_at.is_some_and(|at| now.since(*at) < settling_time)
+    }
+
     fn note_silence(&mut self, now: Time) {
         let limits = self.hosts.values().map(|host| self.silence_limit(host));
         let limits: Vec<Duration> = limits.collect();
@@ -174,17 +203,12 @@
         }
     }
 
-    fn host_is_lost(
-        &self,
-        host: &Host,
-        by_zone: &BTreeMap<String, (usize, usize)>,
-        now: Time,
-    ) -> bool {
+    fn host_is_lost(&self, host: &Host, now: Time) -> bool {
         let limit = self.silence_limit(host);
         let silent_for = now.since(host.heard_at);
-        // Many at once are cut off rather than broken: they come back, later.
-        let (silent, all) = by_zone.get(&host.zone).copied().unwrap_or_default();
-        let cut = silent >= 3 && silent * 2 > all || self.unheard_zones.contains(&host.zone);
+        // What is cut off comes back, later.
+        let machines_cut = self.is_cut_off(&host.zone, now);
+        let cut = machines_cut || self.unheard_zones.contains(&host.zone);
         let taken = host.gone_by.is_some_and(|by| now.since(by) > TAKEN_AFTER);
         match (host.lifecycle, host.reachability) {
             // The cloud has taken it, as it said it would.
@@ -209,7 +233,11 @@
             (HostLifecycle::Expected, _) => {
                 // A new leader finds machines that are long up: they get their time to report. In a
                 // cut zone none of them can, nor can one that came up meanwhile.
-                let patience = if cut { self.rules.lease * 3 } else { limit };
+                let patience = if machines_cut {
+                    self.rules.lease * 3
+                } else {
+                    limit
+                };
                 now.since(host.known_at) > patience && self.is_up_or_overdue(host, now)
             }
             (HostLifecycle::Up | HostLifecycle::Releasing, _) => false,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -128,6 +128,8 @@
     fleet: Fleet,
     /// Zones of which this node hears no other node: what is silent there is cut off.
     pub unheard_zones: Vec<String>,
+    /// Zones of which most machines were silent, and when that was last so.
+    cut_zones: BTreeMap<String, Time>,
     /// Whether the controllers of each zone answer this node.
     pub zone_controllers: BTreeMap<String, ControllerReach>,
     /// The states of zones, where they are tracked.
@@ -216,6 +218,7 @@
             batcher,
             fleet: Fleet::new(term),
             unheard_zones: Vec::new(),
+            cut_zones: BTreeMap::new(),
             zone_controllers: BTreeMap::new(),
             zones: tracked,
             used: BTreeMap::new(),
--- a/src/node/leader_locality.rs
+++ b/src/node/leader_locality.rs
@@ -31,7 +31,7 @@
 #[derive(Debug, Default)]
 struct HomeFlaps {
     damping: FlapDamping,
-    was_reachable: bool,
+    is_cut_off: bool,
     /// When this node last won an election in which no node of the home zone took part.
     won_without_home: Option<Time>,
 }
@@ -46,12 +46,14 @@
 }
 
 impl HomeFlaps {
-    fn update(&mut self, reachable: bool, now: Time) {
+    /// Whether this leader hears neither nodes nor most machines of the home zone: a node that is away
+    /// alone is no cut.
+    fn update(&mut self, is_cut_off: bool, now: Time) {
         let settings = home_damping();
-        if self.was_reachable && !reachable {
+        if is_cut_off && !self.is_cut_off {
             self.damping.on_loss(now, &settings);
         }
-        self.was_reachable = reachable;
+        self.is_cut_off = is_cut_off;
         self.damping.update(now, &settings);
     }
 
@@ -95,8 +97,6 @@
             self.locality.home = widest_zone(&self.types);
         }
         self.leadership.campaign_delay = self.campaign_delay();
-        let reaches_home = self.reaches_home(now);
-        self.locality.home_flaps.update(reaches_home, now);
         let unheard = self.unheard_zones(now);
         let controllers = self.zone_controllers(now);
         let Some(duties) = &mut self.duties else {
@@ -108,6 +108,8 @@
         if reach.home.is_some() {
             self.locality.home.clone_from(&reach.home);
         }
+        let home_is_cut_off = reach.is_cut_off() && !self.is_at_home() && !self.reaches_home(now);
+        self.locality.home_flaps.update(home_is_cut_off, now);
         let hears_more = self.has_peer_that_hears_more(&reach, now);
         let better_placed = hears_more || self.has_peer_at_home(now);
         if better_placed {
@@ -218,15 +220,12 @@
         zones
     }
 
-    /// Zones of which no node can be heard, or could until so short a while ago that their workers
-    /// have had no time to report.
+    /// Zones of which no node can be heard.
     fn unheard_zones(&self, now: Time) -> Vec<String> {
-        let settling_time = self.settling_time();
         let named = || self.settings.peers.iter().zip(&self.peers);
         let heard = |zone: &str| {
-            let settled = |time: Duration| time >= settling_time;
             *zone == self.settings.zone
-                || named().any(|(n, p)| n.zone == zone && p.reachable_for(now).is_some_and(settled))
+                || named().any(|(n, p)| n.zone == zone && p.is_reachable(now))
         };
         let zones = named().map(|(n, _)| n.zone.clone());
         zones.filter(|z| !heard(z)).collect()
