--- a/examples/scale.rs
+++ b/examples/scale.rs
@@ -12,6 +12,7 @@
 use lichencrank::settings::{Settings, Tuning};
 use lichencrank::storage::records::{self, JobRecord};
 use lichencrank::types::{Attempt, HostName, JobId, Session, TaskId, Term, Tick, Time, Version};
+use lichencrank_zones::ControllerReach;
 
 const FLEETS: [u64; 3] = [100, 1000, 4000];
 const TERM: Term = Term(3);
@@ -19,11 +20,14 @@
 const TASK_CPUS: f64 = 2.0;
 const TASKS_PER_JOB: u64 = 20;
 const ROUNDS: u64 = 10;
+/// Rounds of reports until well after the first machines of a cut zone are given up.
+const CUT_ROUNDS: u64 = ROUNDS + 70;
+const CUT_ZONE: &str = "b";
 const SETTINGS: &str = r#"{
     "host_name": "node-0", "area": "a", "front": "127.0.0.1:1", "internal_addr": "127.0.0.1:2",
     "outside": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
     "settings": {
-        "zones": ["a"], "teams": [{"name": "t", "cpus_max": 100000.0}],
+        "zones": ["a", "b"], "teams": [{"name": "t", "cpus_max": 100000.0}],
         "workers": {"report_s": 3.0, "lease_s": 44.0, "cancel_s": 74.0},
         "state": {"rps": 1000.0, "write_rps": 1000.0, "value_kb": 16.0, "txn_ops": 16},
         "cloud": {"rps": 10.0}, "resources": {"sockets": 5000}
@@ -41,7 +45,7 @@
         price: Amount(1.0),
         spot_price: Amount(0.3),
         boot_s: Amount(30.0),
-        zones: vec!["a".into()],
+        zones: vec!["a".into(), CUT_ZONE.into()],
     }
 }
 
@@ -74,6 +78,15 @@
     }
 }
 
+/// Every other machine is in the zone that [`measure_cut`] cuts off.
+fn zone_of(host: u64) -> &'static str {
+    if host % 2 == 0 {
+        "a"
+    } else {
+        CUT_ZONE
+    }
+}
+
 fn report(host: u64, tick: u64, tasks: &[(TaskId, Attempt)]) -> Report {
     let tasks = tasks.iter().map(|(task, attempt)| TaskReport {
         task: *task,
@@ -85,7 +98,7 @@
         host: HostName::new(&format!("vm-{host:06}")),
         address: "127.0.0.1:9000".into(),
         kind: "c8".into(),
-        zone: "a".into(),
+        zone: zone_of(host).into(),
         spot: true,
         session: Session(1),
         tick: Tick(tick),
@@ -105,6 +118,69 @@
         .collect()
 }
 
+/// The longest passes of a leader while half of its machines, all of them busy, are cut off: in the
+/// minute before the first is given up, and while they are.
+struct CutMeasured {
+    before: Duration,
+    displacing: Duration,
+    given_up: usize,
+}
+
+fn measure_cut(machines: u64) -> CutMeasured {
+    let settings = Settings::parse(SETTINGS).expect("the settings here");
+    let features = Features::parse("zones: {enabled: true}").expect("the features here");
+    let rules = Policy::new(&settings.settings, &Tuning::default(), &features);
+    let mut now = Time(0);
+    let mut c = Controller::new(TERM, Version(1), rules, vec![kind()], now);
+    c.valid_until = Time(u64::MAX);
+    c.on_zones_record(None, now);
+    c.on_loaded(now);
+    let mut measured = CutMeasured {
+        before: Duration::ZERO,
+        displacing: Duration::ZERO,
+        given_up: 0,
+    };
+    let fit = (CPUS / TASK_CPUS) as u64 * machines;
+    for number in 0..fit / TASKS_PER_JOB {
+        c.on_job(job(number + 1), Version(number + 10));
+    }
+    for round in 0..CUT_ROUNDS {
+        now = now.after(Duration::from_secs(3));
+        let cut = round >= ROUNDS;
+        for host in (0..machines).filter(|host| !cut || zone_of(*host) != CUT_ZONE) {
+            let report = report(host, round + 1, &bookings(&c, host));
+            c.on_report(&report, now).expect("its term");
+        }
+        if !cut {
+            place_all(&mut c, &mut now);
+            continue;
+        }
+        let reach = [
+            ("a", ControllerReach::Reachable),
+            (CUT_ZONE, ControllerReach::Unreachable),
+        ];
+        c.zone_controllers = reach.map(|(zone, reach)| (zone.to_owned(), reach)).into();
+        let began = Instant::now();
+        c.tick(now, now.0);
+        let pass = began.elapsed();
+        let releases = c.take_actions().into_iter();
+        let given_up: usize = releases
+            .map(|action| match action {
+                Action::Release(hosts) => hosts.len(),
+                _ => 0,
+            })
+            .sum();
+        measured.given_up += given_up;
+        let longest = if measured.given_up > 0 {
+            &mut measured.displacing
+        } else {
+            &mut measured.before
+        };
+        *longest = pass.max(*longest);
+    }
+    measured
+}
+
 struct Measured {
     report: Duration,
     placement: Duration,
@@ -197,4 +273,13 @@
         } = measure(machines);
         println!("{machines:>8}  {report:>10.2?}  {placement:>13.2?}  {idle_pass:>10.2?}");
     }
+    println!("half cut  longest pass before, while giving up  given up");
+    for machines in FLEETS {
+        let CutMeasured {
+            before,
+            displacing,
+            given_up,
+        } = measure_cut(machines);
+        println!("{machines:>8}  {before:>10.2?}  {displacing:>10.2?}  {given_up:>8}");
+    }
 }
