--- a/tests/upgrade/tests/rollout.rs
+++ b/tests/upgrade/tests/rollout.rs
@@ -220,6 +220,11 @@
     play("cancelled_between_versions");
 }
 
+#[test]
+fn zones_between_versions() {
+    play("zones_between_versions");
+}
+
 #[test]
 fn quota_between_versions() {
     play("quota_between_versions");
