--- a/src/node/zone_isolation.rs
+++ b/src/node/zone_isolation.rs
@@ -66,8 +66,8 @@
         peers.any(|(named, peer)| leader == Some(&named.name) && peer.is_reachable(now))
     }
 
-    /// For how long the controllers of a zone have to answer before what is silent there counts: by
-    /// then every healthy worker has tried this leader once.
+    /// For how long a peer has to answer before the workers that it counts say where a leader hears the
+    /// most: by then every healthy worker has tried this leader once.
     pub(super) fn settling_time(&self) -> Duration {
         crate::coordination::longest_report_delay(self.settings.settings.workers.report())
     }
