--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -90,6 +90,9 @@
         self.processes = {}
         atexit.register(self.stop)
         signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+        watchdog = threading.Timer(LIMIT_S + 1.0, self.give_up)
+        watchdog.daemon = True
+        watchdog.start()
         self.state = state_module.StateService(self.record, **{k: site["state"][k] for k in
                                                               ("rps", "write_rps", "value_kb", "txn_ops")})
         self.fleet = fleet_module.Fleet(self.record, site["types"], capacity, site["workers"]["report_s"],
@@ -179,6 +182,11 @@
                     lines += [f"{name}: {line.rstrip()}" for line in file]
         return lines
 
+    def give_up(self):
+        """The case took too long: ends all processes and this one."""
+        self.stop()
+        os._exit(2)
+
     def stop(self):
         for process in self.processes.values():
             if process.poll() is None:
