Review case 3: no constraints, and the machines of the site file

Cause: the case bound its jobs to zones, which few jobs are, and its machine types were not those of the site.

Change: the burst and the jobs have no constraints; types, zones and capacities are those of the site file. The large jobs have too much memory for the cheapest type.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A burst of small jobs in one zone brings up a cheap machine there; a job bound to the other zone then has to wait."""
+"""After a burst of small jobs, a large job has to wait beside a machine with room for it."""
 
 import os
 import sys
@@ -11,50 +11,57 @@
 from fleet import LOCK
 
 WAIT_LIMIT_S = 90.0
-# The class comes 0.0602 times a second; four times as often is one job in 4.15 s.
-BURST_JOBS = 3
+# `eilrouten` come 0.0602 times a second; four times as often is one job in 4.15 s.
 BURST_INTERVAL_S = 4.2
+BURST = {"job-000100": 14, "job-000101": 2}  # job: tasks
+# Machine types by zone and the spot capacity, as in the site file.
+HALLS = {"lagerbox": ["isar-halle"], "sortbox": ["isar-halle"], "routbox": ["lech-halle", "isar-halle"]}
+CAPACITY = {
+    ("lagerbox", "isar-halle", False): 9, ("lagerbox", "isar-halle", True): 15,
+    ("sortbox", "isar-halle", False): 3, ("sortbox", "isar-halle", True): 12,
+    ("routbox", "lech-halle", False): 1, ("routbox", "lech-halle", True): 4,
+    ("routbox", "isar-halle", False): 1, ("routbox", "isar-halle", True): 3,
+}
 
 
 def case():
-    zones = ("lech-halle", "isar-halle")
-    capacity = {(t, z, s): 4 for t in ("lagerbox", "sortbox", "routbox") for z in zones for s in (True, False)}
-    lab = lab_module.Lab(FOLDER, lab_module.PAKET, capacity)
+    types = [{**t, "halls": HALLS[t["sku"]]} for t in lab_module.PAKET_TYPES]
+    lab = lab_module.Lab(FOLDER, {**lab_module.PAKET, "types": types}, CAPACITY)
     lab.start_controllers()
     lab.wait_for_leader()
-    # A long task brings up a large machine in isar-halle and takes a small part of it.
-    types = ["sortbox", "routbox"]
-    lab.submit(lab.spec("job-000001", "sortierteam", 1, 2.0, 6.0, guess_s=120.0, hall="isar-halle", hosttypes=types,
-                        jobclass="scanlauf"), run_s=300.0)
-    lab.wait_for("job-000001 runs", lambda: lab.starts_of("job-000001"), 20)
-    [worker] = lab.fleet.workers()
     if lab.trouble:
-        # Jobs of a class come four times as often for some seconds, and each is done soon.
-        refs = [f"job-{100 + i:06}" for i in range(BURST_JOBS)]
-        for ref in refs:
+        # Jobs of a class come four times as often for some seconds.
+        for ref, tasks in BURST.items():
             next_at = lab.now() + BURST_INTERVAL_S
-            lab.submit(lab.spec(ref, "zustellteam", 1, 2.0, 4.6, urgency="high", guess_s=3.0, due_s=16.0,
-                                hall="lech-halle", jobclass="eilrouten"), run_s=2.0)
+            lab.submit(lab.spec(ref, "zustellteam", tasks, 2.0, 4.6, urgency="high", guess_s=40.0, due_s=90.0,
+                                jobclass="eilrouten"), run_s=5.0)
             lab.sleep_until(next_at)
-        lab.wait_for("the burst is done", lambda: all(f"{ref}/0" in lab.fleet.results for ref in refs), 20)
+        lab.wait_for("the burst is done", lambda: len(lab.fleet.results) == sum(BURST.values()), 25)
+        lab.record("the burst is over")
+    # Two jobs of one task each, which fit a sortbox or a routbox, but have too much memory for a lagerbox.
+    lab.submit(lab.spec("job-000001", "sortierteam", 1, 5.0, 33.0, guess_s=120.0, due_s=230.0, jobclass="scanlauf"),
+               run_s=180.0)
+    lab.wait_for("job-000001 runs", lambda: lab.starts_of("job-000001"), 30)
+    with LOCK:
+        worker = next(w for w in lab.fleet.workers() if w.name == lab.starts_of("job-000001")[0][3])
     time.sleep(2.0)
-    lab.record("the burst is over")
-    lab.submit(lab.spec("job-000002", "routenteam", 1, 4.0, 8.0, guess_s=20.0, due_s=50.0, hall="isar-halle",
-                        hosttypes=types, jobclass="scanlauf"), run_s=2.0)
+    lab.submit(lab.spec("job-000002", "sortierteam", 1, 6.0, 33.0, guess_s=20.0, due_s=80.0, jobclass="scanlauf"),
+               run_s=5.0)
     waits_from = lab.now()
     broken = []
     next_poll = 0.0
     while not broken and not lab.starts_of("job-000002") and lab.now() < waits_from + WAIT_LIMIT_S + 4.0:
         time.sleep(0.1)
         with LOCK:
-            used = sum(lab.fleet.jobs[task.partition("/")[0]]["cpus"] for task, _ in worker.running())
-            if worker.is_gone or used + 4.0 > worker.type["cpus"]:
+            specs = [lab.fleet.jobs[task.partition("/")[0]] for task, _ in worker.running()]
+            free = [worker.type[name] - sum(s[name] for s in specs) for name in ("cpus", "ramGb")]
+            if worker.is_gone or free[0] < 6.0 or free[1] < 33.0:
                 waits_from = lab.now()
         waited = lab.now() - waits_from
         if waited > WAIT_LIMIT_S:
             broken.append(f"job-000002 was left waiting for {waited:.1f} s after the burst, while {worker.name}, a "
-                          f"{worker.type['sku']} in {worker.zone}, had {worker.type['cpus'] - used} CPUs free and its "
-                          f"team used nothing of its 552 CPUs")
+                          f"{worker.type['sku']}, had {free[0]} CPUs and {free[1]} GB free and its team used 5 of its "
+                          f"888 CPUs")
         if lab.now() >= next_poll:
             next_poll = lab.now() + 5.0
             lab.poll("job-000002")
