--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -69,10 +69,13 @@
 
 
 def free_addresses(count):
+    """Free addresses for the controllers. They have a loopback IP address of this process's own: on 127.0.0.1 an outgoing
+    connection may be given the port before the controller listens on it, or while it is restarted."""
+    ip = "127.%d.%d.1" % (1 + os.getpid() % 250, os.getpid() // 250 % 250)
     sockets = [socket.socket() for _ in range(count)]
     for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    addresses = ["127.0.0.1:%d" % sock.getsockname()[1] for sock in sockets]
+        sock.bind((ip, 0))
+    addresses = ["%s:%d" % sock.getsockname() for sock in sockets]
     for sock in sockets:
         sock.close()
     return addresses
@@ -98,7 +101,8 @@
         self.fleet = fleet_module.Fleet(self.record, site["types"], capacity, site["workers"]["report_s"],
                                         site["workers"]["lease_s"], site["cloud"]["list_lag_s"], boot_s)
         count = len(site["controllers"])
-        fronts, internals = free_addresses(count), free_addresses(count)
+        addresses = free_addresses(2 * count)
+        fronts, internals = addresses[:count], addresses[count:]
         self.names = [f"crankhost-{i}" for i in range(count)]
         self.fronts = dict(zip(self.names, fronts))
         self.zones = dict(zip(self.names, site["controllers"]))
