--- a/review/lab2/state.py
+++ b/review/lab2/state.py
@@ -2,6 +2,7 @@
 a case can treat the controllers differently."""
 import asyncio
 import bisect
+import json
 import time
 from urllib.parse import parse_qs, urlsplit
 
@@ -39,6 +40,7 @@
         self.is_out = False
         self.refused = set()  # numbers of the controllers that are refused
         self.silent = set()  # numbers of the controllers that the service does not answer and does not hear
+        self.value_bytes = limits["value_kb"] * 1024
         self.on_txn = None  # async hook(controller, body) -> None, "lose" (the answer), or seconds to be late
         self.servers = []
         self.jobs = []
@@ -164,6 +166,8 @@
         changes = txn.get("apply") or []
         if len(changes) > self.limits["txn_ops"] or len(txn.get("if") or []) > 4 * self.limits["txn_ops"]:
             return 400, {"error": "too large"}
+        if any(len(json.dumps(c["data"], separators=(",", ":"))) > self.value_bytes for c in changes if "set" in c):
+            return 400, {"error": "a value is too large"}
         if changes and not self.writes.take(len(changes)):
             return 429, {"error": "too many changes"}
         fate = await self.on_txn(controller, txn) if self.on_txn else None
