--- a/review/lab2/judge.py
+++ b/review/lab2/judge.py
@@ -17,7 +17,7 @@
         self.broken = []
         self.reported = set()
         self.hall_of = {}  # machine -> zone
-        self.starts = 0
+        self.starts = self.stops = 0
 
     def now(self):
         return time.monotonic() - self.began
@@ -67,6 +67,7 @@
             at.discard((machine.name, attempt))
             spec = self.specs[piece.split("/")[0]]
             self.used[spec["crew"]] -= spec["cpus"]
+        self.stops += cause == "halted"
         if cause == "done":
             self.done.setdefault(piece.split("/")[0], set()).add(piece)
 
--- a/review/lab2/lab.py
+++ b/review/lab2/lab.py
@@ -13,6 +13,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 
 from fleet import Fleet
@@ -152,6 +153,7 @@
         self.state_proxies, self.cloud_proxies, self.worker_proxies = {}, {}, {}
         self.last_job = random.randrange(100_000, 800_000)
         self.jobs = []
+        self.is_over = False
 
     async def __aenter__(self):
         state_ports = await self.state.start(self.count)
@@ -196,6 +198,7 @@
         return self
 
     async def __aexit__(self, kind, error, trace):
+        self.is_over = True
         for job in self.jobs:
             job.cancel()
         for i in range(self.count):
@@ -213,8 +216,14 @@
             self.judge.check_cancelled()
             for i, process in enumerate(self.processes):
                 if process and process.poll() is not None:
-                    self.judge.breaks("crash", f"controller {i} ended by itself: {process.returncode}")
+                    # For example as its port was taken meanwhile. The platform starts it again.
+                    self.judge.note(f"controller {i} ended by itself: {process.returncode}")
                     self.processes[i] = None
+                    asyncio.get_running_loop().call_later(self.site["back_s"], self.start_again, i)
+
+    def start_again(self, i):
+        if self.processes[i] is None and not self.is_over:
+            self.start(i)
 
     # ---- controllers
 
@@ -247,6 +256,11 @@
         item = self.state.keys.get("lead/holder")
         return self.names.index(item[0]["node"]) if item else None
 
+    def has_settled_leader(self, hall):
+        """Whether a controller of the zone leads that has the most machines; others hand over to it after a while."""
+        leader = self.leader()
+        return leader is not None and self.site["nodes"][leader] == hall
+
     async def wait(self, what, condition, timeout):
         until = time.monotonic() + timeout
         while not (value := condition()):
@@ -333,6 +347,7 @@
             await asyncio.gather(*others, return_exceptions=True)
             gc.collect()  # closes what is left of the connections while the loop still runs
             await asyncio.sleep(0)
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that an early end ends all processes too
     try:
         broken = asyncio.run(bounded())
     except CannotRun as error:
@@ -341,6 +356,9 @@
     except TimeoutError:
         print("could not run: out of time")
         sys.exit(2)
+    except (Exception, KeyboardInterrupt):
+        traceback.print_exc()
+        sys.exit(2)
     finally:
         sys.unraisablehook = lambda _: None  # connections that are left when the loop has ended
     for rule, text in broken:
