Log why a worker is told to forget an ended attempt

The logs did not say when, under which token and for which reason an attempt is cleared, so the possible causes could not be told apart: the time bound, the bound on the number of ended attempts, an attempt without an allocation, a new token or a new incarnation. Change: a line at debug with host, task, attempt, token, incarnation, how long the attempt was listed, whether its retention had ended, and how many ended attempts the host lists. EndedAttempt keeps when it was first listed. No behaviour is changed.

--- a/src/coordination/cluster/attempt_outcomes.rs
+++ b/src/coordination/cluster/attempt_outcomes.rs
@@ -141,6 +141,7 @@
         let record_change_count = self.cluster.end_allocation(host, task, is_done, self.now);
         let ended = EndedAttempt {
             record_change_count,
+            first_listed_at: self.now,
             retain_until: self.now.after(retention),
             end_reason: status.end_reason,
         };
--- a/src/coordination/cluster/commands.rs
+++ b/src/coordination/cluster/commands.rs
@@ -167,6 +167,17 @@
             let is_run_excluded =
                 host.fencing_token == context.term && !host.is_run_unacknowledged(task, attempt);
             if is_run_excluded && self.is_outcome_written(task, ended.record_change_count) {
+                tracing::debug!(
+                    host = %host.name,
+                    %task,
+                    %attempt,
+                    fencing_token = %host.fencing_token,
+                    incarnation = %host.incarnation,
+                    listed_for = ?context.now.since(ended.first_listed_at),
+                    retained = context.now < ended.retain_until,
+                    listed_attempts = host.ended_attempts.len(),
+                    "clearing an ended attempt"
+                );
                 commands.push(Command::Clear { task, attempt });
             }
         }
--- a/src/coordination/cluster/host.rs
+++ b/src/coordination/cluster/host.rs
@@ -69,6 +69,8 @@
     /// Change count of its run record from which on the record holds the outcome. The worker may forget the attempt
     /// once that change is written; 0 if there is nothing to write.
     pub record_change_count: u64,
+    /// When a heartbeat first listed it as ended.
+    pub first_listed_at: Time,
     /// Until when the worker has to remember the attempt, so that a delayed copy of its `run` does not start it again.
     pub retain_until: Time,
     /// Why it ended.
--- a/src/coordination/cluster/reconciliation.rs
+++ b/src/coordination/cluster/reconciliation.rs
@@ -214,6 +214,7 @@
                 // Its outcome is in the records already, or does not matter.
                 let ended = EndedAttempt {
                     record_change_count: 0,
+                    first_listed_at: self.now,
                     retain_until: self.now,
                     end_reason: status.end_reason,
                 };
