Only a higher token, a new session or the worker's list excludes a late run

Cause: an attempt that was started by a direct command was cleared four worker leases after its end, as if no copy of its run could be later. After clear the worker has forgotten the attempt, and token and session were unchanged, so a copy started it. Change: a host remembers for each direct run the token with which it was sent, whether or not it was answered, until the worker reports a higher token or a new incarnation. Only then is the attempt cleared, and only then does its absence prove that it has ended. The leader raises its token within its term of office: one transaction replaces the leader's key and the term on condition that neither has changed, repeated until its outcome is known; no write that depends on the leader's key is in flight meanwhile. It does so when an ended attempt was listed for two leases, when a host lists 30 of them, or when only that can prove that a cancelled task is not started, and at most once in half a lease. A token that is being claimed may come back from a follower that responds on the leader's behalf: it neither deposes the leader nor proves anything. The trace late_copy_of_a_run expected the clear after four leases; its replacement expects none at any time before the higher token, which is stricter.

--- a/src/coordination/cluster/allocation.rs
+++ b/src/coordination/cluster/allocation.rs
@@ -42,8 +42,6 @@
     pub record_change_count: u64,
     /// Whether a `run` of the attempt may have been sent, by this leader or an earlier one.
     pub was_run_possibly_sent: bool,
-    /// Whether this leader sent a `run` as a direct command, of which delayed copies may still arrive.
-    pub was_run_sent_directly: bool,
     /// Sequence number of the last heartbeat in whose response a `run` was sent; 0 if there was none.
     pub run_sent_in_response_to: SequenceNumber,
     /// Sequence number of the last heartbeat in whose response a `stop` was sent; 0 if there was none.
@@ -70,7 +68,6 @@
             phase: AllocationPhase::Uncommitted,
             record_change_count: 0,
             was_run_possibly_sent: false,
-            was_run_sent_directly: false,
             run_sent_in_response_to: SequenceNumber(0),
             stop_sent_in_response_to: SequenceNumber(0),
             fenced_in_response_to: SequenceNumber(0),
--- a/src/coordination/cluster/allocations.rs
+++ b/src/coordination/cluster/allocations.rs
@@ -60,7 +60,7 @@
         let Some(mut host) = self.hosts.remove(name) else {
             return StopEffect::NoCommandNeeded;
         };
-        let is_run_in_flight = host.may_have_run_in_flight(task);
+        let may_run_arrive_late = host.may_allocated_run_arrive_late(task);
         let effect = match host.allocations.get_mut(&task) {
             None => StopEffect::NoCommandNeeded,
             Some(allocation) => {
@@ -71,7 +71,7 @@
                     attempt = %allocation.attempt,
                     ?reason,
                     phase = ?allocation.phase,
-                    run_in_flight = is_run_in_flight,
+                    may_run_arrive_late,
                     "stop requested"
                 );
                 if allocation.was_run_possibly_sent {
--- a/src/coordination/cluster/attempt_outcomes.rs
+++ b/src/coordination/cluster/attempt_outcomes.rs
@@ -1,5 +1,4 @@
-//! What the start and the end of an attempt mean for its job and its host: run times, failures, faulty hosts, and how
-//! long the worker has to remember the attempt.
+//! What the start and the end of an attempt mean for its job and its host: run times, failures and faulty hosts.
 
 use std::time::Duration;
 
@@ -9,9 +8,6 @@
 use crate::protocol::workers::{AttemptStatus, EndReason};
 use crate::types::{TaskId, Time};
 
-/// For how many worker leases an ended attempt that was started by a direct command is retained by its worker, as a
-/// copy of the command may still arrive.
-const ENDED_ATTEMPT_RETENTION_LEASES: u32 = 4;
 /// How long no task of a job is placed after a worker refused to start one.
 const START_REFUSED_BACKOFF: Duration = Duration::from_secs(1);
 /// A host on which tasks of this many jobs failed is faulty.
@@ -126,23 +122,13 @@
         }
     }
 
-    /// Frees the allocation of an attempt that ended. The worker has to remember the attempt while a delayed copy of
-    /// its `run` may still arrive.
+    /// Frees the allocation of an attempt that ended. The worker remembers the attempt until it is told to forget it.
     fn retain_ended_attempt(&mut self, host: &mut Host, status: &AttemptStatus, is_done: bool) {
         let (task, attempt) = (status.task, status.attempt);
-        let allocation = host.allocations.get(&task);
-        let may_run_arrive_late =
-            allocation.is_some_and(|allocation| allocation.was_run_sent_directly);
-        let retention = if may_run_arrive_late {
-            self.policy.worker_lease * ENDED_ATTEMPT_RETENTION_LEASES
-        } else {
-            Duration::ZERO
-        };
         let record_change_count = self.cluster.end_allocation(host, task, is_done, self.now);
         let ended = EndedAttempt {
             record_change_count,
             first_listed_at: self.now,
-            retain_until: self.now.after(retention),
             end_reason: status.end_reason,
         };
         host.ended_attempts.insert((task, attempt), ended);
--- a/src/coordination/cluster/commands.rs
+++ b/src/coordination/cluster/commands.rs
@@ -1,36 +1,56 @@
 //! Derives the commands that a worker needs so that its tasks match the state.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
-use super::host::{AllocationPhase, Host, StopReason};
+use super::host::{AllocationPhase, EndedAttempt, Host, StopReason};
 use super::job::JobPhase;
 use super::ClusterState;
 use crate::protocol::workers::Command;
-use crate::types::{HostName, Incarnation, SequenceNumber, TaskId, Term, Time};
+use crate::types::{Attempt, HostName, Incarnation, SequenceNumber, TaskId, Term, Time};
 
-/// Above this many ended attempts on a host, they are cleared without waiting for their retention to end, to keep
+/// Above this many ended attempts on a host, they are cleared although copies of their `run` may still arrive, to keep
 /// heartbeats small.
 const MAX_RETAINED_ATTEMPTS: usize = 200;
 /// Above this many ended attempts on a host, tasks are started in heartbeat responses only. No copy of a response
 /// arrives late, so attempts that a response started can be cleared as soon as they have ended.
 const MAX_ATTEMPTS_FOR_DIRECT_RUN: usize = 60;
 
+/// A higher fencing token is requested once a worker lists this many ended attempts, before tasks can't be started
+/// directly any more.
+const ENDED_ATTEMPTS_BEFORE_RAISE: usize = MAX_ATTEMPTS_FOR_DIRECT_RUN / 2;
+
 /// The grace for saving progress exceeds the save time in the job's description by this factor and by
 /// `SAVE_TIME_MARGIN_S`.
 const SAVE_TIME_FACTOR: f64 = 1.2;
 /// Seconds added to the grace for saving progress.
 const SAVE_TIME_MARGIN_S: f64 = 1.0;
 
-/// The leader's term and lease, on which its commands depend.
+/// The leader's term, token and lease, on which its commands depend.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CommandContext {
-    /// The leader's term, which is also the fencing token.
+    /// The leader's term, which was its first fencing token.
     pub(crate) term: Term,
+    /// The fencing token that the commands carry.
+    pub(crate) fencing_token: Term,
+    /// How long ended attempts are listed before a higher fencing token is requested so that they can be cleared.
+    pub(crate) max_listing_time: Duration,
     /// Whether this leader's lease is valid, so that tasks may be started.
     pub(crate) may_start_tasks: bool,
     pub(crate) now: Time,
 }
 
+/// What is known of a request with direct commands once it has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Delivery {
+    /// The worker has answered.
+    Answered,
+    /// There was no response: the commands may have been executed, or may still be.
+    Unanswered,
+    /// The commands were certainly not executed.
+    NotExecuted,
+}
+
 impl ClusterState {
     /// Returns the commands for the response to a heartbeat, and notes them as sent. A `run` in a response can't be
     /// executed late.
@@ -57,39 +77,43 @@
         };
         for command in &commands {
             if let Command::Run { task, attempt } = command {
-                host.on_run_sent_directly(*task, *attempt);
+                host.on_run_sent_directly(*task, *attempt, context.fencing_token);
             }
         }
         host.has_command_in_flight = true;
         commands
     }
 
-    /// Notes that a request with direct commands has ended. If its outcome is known, its `run` commands can't be
-    /// executed any more; without a response they still can.
+    /// Notes that a request with direct commands has ended. Unless they were certainly not executed, a copy may still
+    /// be, whether or not there was a response.
     pub(crate) fn on_direct_commands_done(
         &mut self,
         name: &HostName,
         incarnation: Incarnation,
         commands: &[Command],
-        is_outcome_known: bool,
+        delivery: Delivery,
     ) {
         let Some(host) = self.hosts.get_mut(name) else {
             return;
         };
         host.has_command_in_flight = false;
-        if !is_outcome_known {
+        if delivery == Delivery::Unanswered {
             tracing::debug!(
                 host = %name,
                 commands = ?commands,
                 "no response to direct commands: each may still be executed"
             );
         }
-        if host.incarnation != incarnation || !is_outcome_known {
+        if host.incarnation != incarnation {
             return;
         }
         for command in commands {
             if let Command::Run { task, attempt } = command {
-                host.on_run_acknowledged(*task, *attempt);
+                match delivery {
+                    Delivery::Answered => host.on_run_acknowledged(*task, *attempt),
+                    Delivery::NotExecuted => host.on_run_not_executed(*task, *attempt),
+                    Delivery::Unanswered => {}
+                }
             }
         }
     }
@@ -155,31 +179,31 @@
         commands
     }
 
-    /// Returns `clear` commands for the ended attempts whose outcome is written and whose `run` can't arrive late. If
-    /// an attempt were cleared earlier, a delayed copy of its `run` would start it again.
-    fn clear_commands(&self, host: &Host, context: CommandContext) -> Vec<Command> {
+    /// Returns `clear` commands for the ended attempts whose outcome is written and whose `run` can't arrive late: after
+    /// `clear` the worker has forgotten the attempt, and a late copy of its `run` would start it again. Requests a higher
+    /// fencing token, which excludes such copies, if attempts have waited long or are many.
+    fn clear_commands(&mut self, host: &Host, context: CommandContext) -> Vec<Command> {
         let has_too_many_ended_attempts = host.ended_attempts.len() > MAX_RETAINED_ATTEMPTS;
+        let has_many_ended_attempts = host.ended_attempts.len() >= ENDED_ATTEMPTS_BEFORE_RAISE;
         let mut commands = Vec::new();
         for (&(task, attempt), ended) in &host.ended_attempts {
-            if context.now < ended.retain_until && !has_too_many_ended_attempts {
+            if host.fencing_token < context.term
+                || !self.is_outcome_written(task, ended.record_change_count)
+            {
                 continue;
             }
-            let is_run_excluded =
-                host.fencing_token == context.term && !host.is_run_unacknowledged(task, attempt);
-            if is_run_excluded && self.is_outcome_written(task, ended.record_change_count) {
-                tracing::debug!(
-                    host = %host.name,
-                    %task,
-                    %attempt,
-                    fencing_token = %host.fencing_token,
-                    incarnation = %host.incarnation,
-                    listed_for = ?context.now.since(ended.first_listed_at),
-                    retained = context.now < ended.retain_until,
-                    listed_attempts = host.ended_attempts.len(),
-                    "clearing an ended attempt"
-                );
-                commands.push(Command::Clear { task, attempt });
+            let is_run_answered = !host.is_run_unacknowledged(task, attempt);
+            if host.may_run_arrive_late(task, attempt)
+                && !(has_too_many_ended_attempts && is_run_answered)
+            {
+                let listed_for = context.now.since(ended.first_listed_at);
+                self.is_token_raise_requested |= (has_many_ended_attempts
+                    || listed_for >= context.max_listing_time)
+                    && host.awaits_token_above(task, attempt, context.fencing_token);
+                continue;
             }
+            log_clear(host, task, attempt, ended, context.now);
+            commands.push(Command::Clear { task, attempt });
         }
         commands
     }
@@ -220,3 +244,17 @@
         grace_s: 0.0,
     })
 }
+
+fn log_clear(host: &Host, task: TaskId, attempt: Attempt, ended: &EndedAttempt, now: Time) {
+    tracing::debug!(
+        host = %host.name,
+        %task,
+        %attempt,
+        fencing_token = %host.fencing_token,
+        incarnation = %host.incarnation,
+        listed_for = ?now.since(ended.first_listed_at),
+        may_run_arrive_late = host.may_run_arrive_late(task, attempt),
+        listed_attempts = host.ended_attempts.len(),
+        "clearing an ended attempt"
+    );
+}
--- a/src/coordination/cluster/host.rs
+++ b/src/coordination/cluster/host.rs
@@ -5,6 +5,7 @@
 
 pub use super::allocation::{Allocation, AllocationPhase, StopReason};
 use super::host_attributes::AttributeSource;
+use super::late_runs::DirectRun;
 use crate::coordination::resources::Resources;
 use crate::protocol::workers::{EndReason, WorkerHeartbeat};
 use crate::types::{Attempt, HostName, Incarnation, JobId, SequenceNumber, TaskId, Term, Time};
@@ -71,8 +72,6 @@
     pub record_change_count: u64,
     /// When a heartbeat first listed it as ended.
     pub first_listed_at: Time,
-    /// Until when the worker has to remember the attempt, so that a delayed copy of its `run` does not start it again.
-    pub retain_until: Time,
     /// Why it ended.
     pub end_reason: Option<EndReason>,
 }
@@ -146,9 +145,8 @@
     pub ended_attempts: BTreeMap<(TaskId, Attempt), EndedAttempt>,
     /// Attempts in its last heartbeat that no run record places on this host and that were not adopted as allocations.
     pub unrecorded_attempts: BTreeSet<(TaskId, Attempt)>,
-    /// How many direct `run` commands of each attempt have had no response. Each may still be executed, even minutes
-    /// later.
-    pub(super) unacknowledged_runs: BTreeMap<(TaskId, Attempt), u32>,
+    /// The attempts of which a direct `run` was sent, until no late copy of it can be executed any more.
+    pub(super) direct_runs: BTreeMap<(TaskId, Attempt), DirectRun>,
     /// Images that are likely in its cache, the most recently used last.
     cached_images: Vec<CachedImage>,
     /// Jobs of which a task failed on it, and when the last one did.
@@ -196,7 +194,7 @@
             allocated_resources: Resources::default(),
             ended_attempts: BTreeMap::new(),
             unrecorded_attempts: BTreeSet::new(),
-            unacknowledged_runs: BTreeMap::new(),
+            direct_runs: BTreeMap::new(),
             cached_images: Vec::new(),
             failed_jobs: BTreeMap::new(),
             consecutive_failures: 0,
@@ -340,6 +338,6 @@
     pub(super) fn begin_incarnation(&mut self, incarnation: Incarnation) {
         self.incarnation = incarnation;
         self.ended_attempts.clear();
-        self.unacknowledged_runs.clear();
+        self.direct_runs.clear();
     }
 }
--- a/src/coordination/cluster/jobs.rs
+++ b/src/coordination/cluster/jobs.rs
@@ -107,7 +107,7 @@
         let mut hosts = job
             .allocated_hosts()
             .filter_map(|name| self.hosts.get(name));
-        hosts.all(|host| host.fencing_token == term)
+        hosts.all(|host| host.fencing_token >= term)
     }
 }
 
--- a/src/coordination/cluster/mod.rs
+++ b/src/coordination/cluster/mod.rs
@@ -15,14 +15,14 @@
 mod hosts;
 pub mod job;
 mod jobs;
+mod late_runs;
 mod loading;
-mod lost_runs;
 mod persistence;
 mod reconciliation;
 mod record_writer;
 
 pub(crate) use allocations::StopEffect;
-pub(crate) use commands::CommandContext;
+pub(crate) use commands::{CommandContext, Delivery};
 pub use host_attributes::AttributeSource;
 pub(crate) use host_attributes::HostAttributes;
 pub(crate) use hosts::ProvisionedHosts;
@@ -62,6 +62,8 @@
     /// Whether all records have been read. Before that, allocations may be missing.
     is_loaded: bool,
     is_scheduling_requested: bool,
+    /// Whether late copies of direct `run` commands have to be excluded by a higher fencing token.
+    is_token_raise_requested: bool,
 }
 
 impl ClusterState {
@@ -86,6 +88,7 @@
             released_hosts: BTreeMap::new(),
             is_loaded: false,
             is_scheduling_requested: false,
+            is_token_raise_requested: false,
         }
     }
 
@@ -144,6 +147,18 @@
         std::mem::take(&mut self.is_scheduling_requested)
     }
 
+    /// Whether a higher fencing token was requested since the last one was claimed.
+    pub(crate) fn is_token_raise_requested(&self) -> bool {
+        self.is_token_raise_requested
+    }
+
+    /// The leader has claimed a higher fencing token, which has changed the leader's key.
+    pub(crate) fn on_token_raised(&mut self, leader_key_version: Version) {
+        self.is_token_raise_requested = false;
+        self.record_writer
+            .set_leader_key_version(leader_key_version);
+    }
+
     /// Replaces the machine types. Hosts keep their type by name, as its index may change.
     pub(crate) fn set_machine_types(&mut self, machine_types: Vec<MachineType>) {
         if machine_types == self.machine_types {
--- a/src/coordination/cluster/reconciliation.rs
+++ b/src/coordination/cluster/reconciliation.rs
@@ -1,7 +1,7 @@
 //! Reconciles the state with what a worker's heartbeat reports.
 //!
-//! Only a heartbeat with the fencing token of this term proves anything, as its worker rejects commands of earlier
-//! leaders. A heartbeat that was composed before its worker saw the token may be a delayed copy.
+//! Only a heartbeat with a fencing token of this leader proves anything, as its worker rejects commands of earlier
+//! leaders. A heartbeat that was composed before its worker saw the first one may be a delayed copy.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -14,7 +14,6 @@
 use super::job::{JobPhase, TaskState};
 use super::ClusterState;
 use crate::coordination::run_times::RunTimes;
-use crate::coordination::Policy;
 use crate::protocol::workers::{AttemptState, AttemptStatus, WorkerHeartbeat};
 use crate::storage::records::RunRecordId;
 use crate::types::{
@@ -34,8 +33,10 @@
 pub(crate) struct Reconciliation<'a> {
     pub(crate) cluster: &'a mut ClusterState,
     pub(crate) run_times: &'a mut RunTimes,
-    pub(crate) policy: &'a Policy,
+    /// The leader's term. Heartbeats with a lower token are not reconciled.
     pub(crate) term: Term,
+    /// The leader's fencing token, which is its term or higher.
+    pub(crate) fencing_token: Term,
     pub(crate) source: HeartbeatSource,
     pub(crate) now: Time,
 }
@@ -115,7 +116,7 @@
         }
         self.update_attributes(host, heartbeat);
         self.update_reachability(host, heartbeat, was_silent);
-        host.fencing_token = heartbeat.fencing_token;
+        host.on_token_reported(heartbeat.fencing_token);
         host.last_heartbeat_at = self.now;
         if !host.is_up() {
             self.mark_up(host);
@@ -215,7 +216,6 @@
                 let ended = EndedAttempt {
                     record_change_count: 0,
                     first_listed_at: self.now,
-                    retain_until: self.now,
                     end_reason: status.end_reason,
                 };
                 host.ended_attempts.entry((task, attempt)).or_insert(ended);
@@ -310,6 +310,8 @@
                     reason = ?allocation.stop_reason,
                     "not reported, but its run may still be executed"
                 );
+                self.cluster.is_token_raise_requested |=
+                    host.needs_higher_token_for(task, self.fencing_token);
             }
         }
         if ignores_commands {
@@ -318,7 +320,7 @@
     }
 
     /// Whether the absence of a task from the heartbeat proves that it is not on the host and can't be started there:
-    /// late commands of earlier leaders are fenced off, and no `run` of this leader is still in flight.
+    /// late commands of earlier leaders are fenced off, and no `run` of this leader may still be executed.
     fn proves_absence(
         &self,
         host: &Host,
@@ -333,9 +335,9 @@
         let has_processed_response = sent_in_response_to == SequenceNumber(0)
             || self.source == HeartbeatSource::Worker
                 && heartbeat.sequence_number > sent_in_response_to;
-        heartbeat.fencing_token == self.term
+        heartbeat.fencing_token >= self.term
             && has_processed_response
-            && !host.is_run_unacknowledged(task, allocation.attempt)
+            && !host.may_run_arrive_late(task, allocation.attempt)
     }
 
     /// Handles the notice that the cloud will reclaim the host. Tasks that can't end in time are stopped now, so that
--- a/src/coordination/cluster/record_writer/mod.rs
+++ b/src/coordination/cluster/record_writer/mod.rs
@@ -105,6 +105,11 @@
         self.leader_key_version
     }
 
+    /// Sets the version of the leader's key after a change of the key by this leader. No batch may be in flight.
+    pub(crate) fn set_leader_key_version(&mut self, version: Version) {
+        self.leader_key_version = version;
+    }
+
     /// The size limit of a value in JSON, in bytes.
     pub(crate) fn max_value_bytes(&self) -> usize {
         self.max_value_bytes
@@ -197,6 +202,11 @@
         !matches!(self.in_flight, InFlight::Sent(_))
     }
 
+    /// Whether the outcome of every batch that was sent is known.
+    pub(crate) fn is_settled(&self) -> bool {
+        matches!(self.in_flight, InFlight::Idle)
+    }
+
     /// The next transaction to send, with at most `max_changes` changes; `None` if there is nothing to write or a
     /// response is awaited. Records that are not urgent are included only with `has_spare_budget`.
     pub(crate) fn next_batch(
--- a/src/coordination/election.rs
+++ b/src/coordination/election/mod.rs
@@ -1,5 +1,11 @@
 //! Leader election. The leader's key is attached to a lease of the state service and vanishes with it. A candidate
-//! creates the key and raises the term in one transaction; the term is the fencing token.
+//! creates the key and raises the term in one transaction; the term is the fencing token. A leader may raise its own term
+//! later, see [`LeaderElection::begin_term_raise`].
+
+mod messages;
+mod term_raise;
+
+pub use messages::{ElectionAction, ElectionRecords, ElectionStep, Role};
 
 use std::time::Duration;
 
@@ -7,87 +13,7 @@
 use crate::storage::store::Outcome;
 use crate::types::{LeaseId, Term, Time, Version};
 use lichencrank_store::{value, Change, Txn};
-
-/// The state of this controller in the election.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Role {
-    /// Another controller leads, or none does yet.
-    Following,
-    /// The leader's key is free; the lease to which this controller will attach it has been requested.
-    AwaitingLease {
-        /// The term to claim.
-        term: Term,
-        /// Version of the key of the highest term.
-        term_version: Version,
-    },
-    /// The transaction that creates the leader's key is in flight.
-    Claiming {
-        /// The lease to which the key will be attached.
-        lease: LeaseId,
-        /// The term to claim.
-        term: Term,
-    },
-    /// This controller leads, as far as it knows.
-    Leading {
-        /// The lease to which the leader's key is attached.
-        lease: LeaseId,
-        /// The own term, which is the fencing token.
-        term: Term,
-        /// Version of the leader's key.
-        leader_key_version: Version,
-    },
-}
-
-/// The kind of election request to which an outcome belongs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ElectionStep {
-    /// Reads the leader's record and the highest term.
-    ReadRecords,
-    /// Requests a lease.
-    GrantLease,
-    /// Creates the leader's key and raises the term, in one transaction.
-    Claim,
-    /// Renews this lease. Its response may arrive after the leadership was lost and won again under another lease.
-    Renew(LeaseId),
-    /// Ends a lease.
-    EndLease,
-}
-
-/// A request of the election to the node.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ElectionAction {
-    /// Read the keys below `lead/`.
-    ReadRecords,
-    /// Request a lease with the given duration.
-    GrantLease(Duration),
-    /// Send the transaction that claims the leadership.
-    Claim(Txn),
-    /// Renew the lease.
-    Renew(LeaseId),
-    /// End the lease of an earlier process of this controller, which is certainly dead, the own lease of a term that is
-    /// over, or one that is not needed.
-    EndLease(LeaseId),
-    /// Give up the leadership in favour of a better placed controller: stop leading and end the lease.
-    Resign(LeaseId),
-    /// Begin to lead.
-    BeginLeading {
-        /// The term that this controller won.
-        term: Term,
-        /// Version of the leader's key.
-        leader_key_version: Version,
-    },
-    /// Stop leading.
-    StepDown,
-}
-
-/// The records below `lead/`, as one read returned them.
-#[derive(Clone, Debug, Default)]
-pub struct ElectionRecords {
-    /// The leader's record and its version, if its key exists.
-    pub holder: Option<(LeaderRecord, Version)>,
-    /// The highest term and the version of its key, if it exists.
-    pub term: Option<(Term, Version)>,
-}
+use term_raise::TermRaise;
 
 /// The part of the lease duration for which the leader relies on its lease. The clocks of two hosts differ in rate by
 /// at most 0.05%, so 1% is a wide margin.
@@ -116,9 +42,12 @@
     pub highest_term: Term,
     /// The leader of that term, if known.
     pub known_leader: Option<String>,
-    /// The highest term in which this process has begun to lead. It never leads in a term twice: whatever is named or
-    /// counted within the term, and whatever the fencing token excludes, counts on that.
+    /// The highest term in which this process has begun to lead, or to which it has tried to raise its own. It never
+    /// leads in a term twice: whatever is named or counted within the term, and whatever the fencing token excludes,
+    /// counts on that.
     last_led_term: Term,
+    /// The raise of the own term that is under way.
+    term_raise: Option<TermRaise>,
     /// The lease that was granted or renewed last.
     confirmed_lease: Option<LeaseId>,
     /// Until when that lease is certainly valid.
@@ -150,6 +79,7 @@
             highest_term: Term(0),
             known_leader: None,
             last_led_term: Term(0),
+            term_raise: None,
             confirmed_lease: None,
             lease_valid_until: Time::default(),
             next_renewal_at: Time::default(),
@@ -197,8 +127,8 @@
     /// past would make the event loop spin.
     pub fn next_wakeup(&self) -> Time {
         match self.role {
-            Role::Leading { .. } if self.is_renewing => Time(u64::MAX),
-            Role::Leading { .. } => self.next_renewal_at,
+            Role::Leading { .. } if self.is_renewing => self.term_raise_due_at(),
+            Role::Leading { .. } => self.next_renewal_at.min(self.term_raise_due_at()),
             Role::Following => {
                 let read_timeout_at = self
                     .read_sent_at
@@ -214,7 +144,7 @@
         match self.role {
             Role::Leading { lease, .. } => {
                 if self.is_renewing || now < self.next_renewal_at {
-                    return None;
+                    return self.continue_term_raise(now);
                 }
                 self.is_renewing = true;
                 self.next_renewal_at = now.after(self.lease_ttl / 3);
@@ -244,7 +174,8 @@
     /// Takes in a term, and its leader if known, that a worker, a peer or the state service reported. A leader steps
     /// down if the term is higher than its own.
     pub fn observe_term(&mut self, term: Term, leader: Option<&str>) -> Option<ElectionAction> {
-        if term < self.highest_term {
+        let names_another_leader = leader.is_some_and(|leader| leader != self.controller);
+        if term < self.highest_term || (self.is_raising_to(term) && !names_another_leader) {
             return None;
         }
         if term > self.highest_term {
@@ -288,6 +219,7 @@
         if self.known_leader.as_deref() == Some(&self.controller) {
             self.known_leader = None;
         }
+        self.term_raise = None;
         self.is_renewing = false;
         self.next_read_at = Time::default();
         ElectionAction::StepDown
@@ -302,7 +234,11 @@
         now: Time,
     ) -> Option<ElectionAction> {
         self.read_sent_at = None;
-        let records = records.filter(|_| now.since(sent_at) < READ_TIMEOUT)?;
+        let records = records.filter(|_| now.since(sent_at) < READ_TIMEOUT);
+        if self.is_leading() {
+            return self.on_records_read_for_raise(records, now);
+        }
+        let records = records?;
         if self.role != Role::Following {
             return None;
         }
@@ -443,25 +379,39 @@
             (ElectionStep::Renew(renewed), Role::Leading { lease, .. }, outcome)
                 if renewed == *lease =>
             {
-                self.is_renewing = false;
-                match outcome {
-                    Outcome::LeaseUpdated => {
-                        self.on_lease_confirmed(renewed, sent_at);
-                        None
-                    }
-                    Outcome::LeaseGone => Some(self.step_down()),
-                    _ => {
-                        // Retried soon, as otherwise three refusals in a row would cost the leadership.
-                        self.next_renewal_at =
-                            self.next_renewal_at.min(now.after(RENEWAL_RETRY_DELAY));
-                        None
-                    }
-                }
+                self.on_renewal_outcome(renewed, outcome, sent_at, now)
+            }
+            (ElectionStep::RaiseTerm(term), Role::Leading { .. }, outcome)
+                if self.is_raising_to(term) =>
+            {
+                self.on_raise_outcome(outcome, now)
             }
             _ => None,
         }
     }
 
+    fn on_renewal_outcome(
+        &mut self,
+        lease: LeaseId,
+        outcome: Outcome,
+        sent_at: Time,
+        now: Time,
+    ) -> Option<ElectionAction> {
+        self.is_renewing = false;
+        match outcome {
+            Outcome::LeaseUpdated => {
+                self.on_lease_confirmed(lease, sent_at);
+                None
+            }
+            Outcome::LeaseGone => Some(self.step_down()),
+            _ => {
+                // Retried soon, as otherwise three refusals in a row would cost the leadership.
+                self.next_renewal_at = self.next_renewal_at.min(now.after(RENEWAL_RETRY_DELAY));
+                None
+            }
+        }
+    }
+
     /// Notes that the state service granted or renewed a lease, by a request that was sent at `sent_at`.
     fn on_lease_confirmed(&mut self, lease: LeaseId, sent_at: Time) {
         self.confirmed_lease = Some(lease);
@@ -470,15 +420,21 @@
 
     /// The transaction that claims the leadership: it fails if the key exists or the term has changed.
     fn claim(&self, lease: LeaseId, term: Term, term_version: Version) -> Txn {
+        let mut txn = Txn::default();
+        txn.require(LEADER_KEY.to_owned(), Version(0));
+        txn.require(TERM_KEY.to_owned(), term_version);
+        self.add_leadership_changes(&mut txn, lease, term);
+        txn
+    }
+
+    /// Adds the changes that make this controller the leader of the term. They get one version.
+    fn add_leadership_changes(&self, txn: &mut Txn, lease: LeaseId, term: Term) {
         let holder = LeaderRecord {
             controller: self.controller.clone(),
             incarnation: self.incarnation,
             lease,
             term,
         };
-        let mut txn = Txn::default();
-        txn.require(LEADER_KEY.to_owned(), Version(0));
-        txn.require(TERM_KEY.to_owned(), term_version);
         txn.changes.push(Change::Put {
             key: LEADER_KEY.to_owned(),
             value: value(&holder),
@@ -488,6 +444,5 @@
             TERM_KEY.to_owned(),
             value(&TermRecord { term }),
         ));
-        txn
     }
 }
--- a/src/coordination/leader/dispatch.rs
+++ b/src/coordination/leader/dispatch.rs
@@ -8,6 +8,9 @@
 use crate::coordination::{Action, Leader};
 use crate::types::{HostName, TaskId, Time};
 
+/// For how many worker leases ended attempts are listed before a higher fencing token is requested to clear them.
+const MAX_LISTING_LEASES: u32 = 2;
+
 impl Leader {
     /// Marks a task to be stopped and sends the command to its worker at once.
     pub(crate) fn stop_task(
@@ -66,6 +69,8 @@
     pub(super) fn command_context(&self, now: Time) -> CommandContext {
         CommandContext {
             term: self.term,
+            fencing_token: self.fencing_token(),
+            max_listing_time: self.policy.worker_lease * MAX_LISTING_LEASES,
             may_start_tasks: self.has_valid_lease(now),
             now,
         }
--- a/src/coordination/leader/heartbeats.rs
+++ b/src/coordination/leader/heartbeats.rs
@@ -1,6 +1,6 @@
 //! Handling of worker heartbeats and of the results of direct commands.
 
-use crate::coordination::cluster::{HeartbeatSource, Reconciliation};
+use crate::coordination::cluster::{Delivery, HeartbeatSource, Reconciliation};
 use crate::coordination::{CommandResult, Leader, LeaderPhase, LeadershipLost};
 use crate::protocol::workers::{stop_commands, Command, WorkerHeartbeat};
 use crate::types::{HostName, Incarnation, Time};
@@ -35,9 +35,7 @@
         &self,
         heartbeat: &WorkerHeartbeat,
     ) -> Result<Vec<Command>, LeadershipLost> {
-        if heartbeat.fencing_token > self.term {
-            return Err(LeadershipLost(heartbeat.fencing_token));
-        }
+        self.check_token(heartbeat.fencing_token)?;
         Ok(stop_commands(heartbeat, |job| {
             self.cancellations.contains(job)
         }))
@@ -51,17 +49,19 @@
         source: HeartbeatSource,
         now: Time,
     ) -> Result<bool, LeadershipLost> {
-        if heartbeat.fencing_token > self.term {
-            return Err(LeadershipLost(heartbeat.fencing_token));
-        }
-        if self.phase == LeaderPhase::LoadingRecords || self.cluster.was_released(&heartbeat.host) {
+        self.check_token(heartbeat.fencing_token)?;
+        if self.phase == LeaderPhase::LoadingRecords
+            || self.cluster.was_released(&heartbeat.host)
+            || self.is_token_undecided(heartbeat.fencing_token)
+        {
             return Ok(false);
         }
+        let fencing_token = self.fencing_token();
         let mut reconciliation = Reconciliation {
             cluster: &mut self.cluster,
             run_times: &mut self.run_times,
-            policy: &self.policy,
             term: self.term,
+            fencing_token,
             source,
             now,
         };
@@ -102,9 +102,13 @@
         if self.cluster.host(name).is_none() {
             return Ok(());
         }
-        let is_outcome_known = !matches!(result, CommandResult::NoResponse);
+        let delivery = match result {
+            CommandResult::Heartbeat(_) => Delivery::Answered,
+            CommandResult::NoResponse => Delivery::Unanswered,
+            CommandResult::NotExecuted | CommandResult::NotAttempted => Delivery::NotExecuted,
+        };
         self.cluster
-            .on_direct_commands_done(name, incarnation, commands, is_outcome_known);
+            .on_direct_commands_done(name, incarnation, commands, delivery);
         match result {
             CommandResult::Heartbeat(heartbeat) => {
                 self.reconcile(&heartbeat, HeartbeatSource::CommandResponse, now)?;
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -1,6 +1,7 @@
 //! The leader of one term: passes events to its components and collects the actions that they request.
 
 mod dispatch;
+mod fencing;
 mod heartbeats;
 mod jobs;
 mod records;
@@ -9,6 +10,7 @@
 pub use records::WriteBacklog;
 pub use status::WorkerReach;
 
+use fencing::FencingToken;
 use jobs::Cancellations;
 
 use std::collections::BTreeMap;
@@ -44,7 +46,9 @@
 
 /// The leader of one term. Its components own its state; it passes events to them.
 pub struct Leader {
+    /// The term of office, in which whatever the leader numbers is unique.
     term: Term,
+    fencing: FencingToken,
     phase: LeaderPhase,
     /// Until when the own lease is certainly valid. It is checked whenever something is started, as the process may
     /// have been paused since the last check.
@@ -94,6 +98,7 @@
     ) -> Self {
         Leader {
             term,
+            fencing: FencingToken::new(term, now),
             phase: LeaderPhase::LoadingRecords,
             lease_valid_until: Time::default(),
             clock: Clock {
@@ -135,7 +140,7 @@
         Some((u64::from(job.done_count), u64::from(job.allocated_count)))
     }
 
-    /// The leader's term, which is the fencing token.
+    /// The leader's term of office, which was its first fencing token.
     pub fn term(&self) -> Term {
         self.term
     }
@@ -216,6 +221,9 @@
             LeaderPhase::Scheduling => {}
         }
         let has_valid_lease = self.has_valid_lease(now);
+        if has_valid_lease {
+            self.update_token_demand(now);
+        }
         if self.failure_detector.begin_check(now) {
             self.check_hosts(now, has_valid_lease);
             if has_valid_lease {
--- a/src/coordination/leader/records.rs
+++ b/src/coordination/leader/records.rs
@@ -112,6 +112,11 @@
         self.cluster.record_writer().is_idle()
     }
 
+    /// Whether the outcome of every batch that was sent is known.
+    pub fn is_write_settled(&self) -> bool {
+        self.cluster.record_writer().is_settled()
+    }
+
     /// The largest size of a stored value in bytes.
     pub fn max_value_bytes(&self) -> usize {
         self.cluster.record_writer().max_value_bytes()
--- a/src/node/leader_duties/mod.rs
+++ b/src/node/leader_duties/mod.rs
@@ -151,6 +151,8 @@
     quota_reload: PeriodicRead,
     /// When the quota records are next checked for due changes.
     quota_check_due_at: Time,
+    /// Whether a write of the zones record is in flight.
+    is_writing_zones_record: bool,
     /// Version of the zones record; unknown until it is read, and after a write without a response.
     zones_record_version: Option<Version>,
     batch_interval: Duration,
@@ -189,6 +191,7 @@
             has_written_machine_types: false,
             quota_reload: PeriodicRead::new(QUOTA_RELOAD_INTERVAL, now),
             quota_check_due_at: now,
+            is_writing_zones_record: false,
             zones_record_version: None,
             batch_interval,
             next_batch_at: now,
@@ -230,8 +233,10 @@
                 decided_at.after((decided_at.since(now) * 3).min(MAX_DECISION_PAUSE));
         }
         if self.has_valid_lease(network) {
-            self.update_quota(write_rate_limit, now);
-            self.update_zones_record(write_rate_limit, now);
+            if !self.leader.wants_higher_token() {
+                self.update_quota(write_rate_limit, now);
+                self.update_zones_record(write_rate_limit, now);
+            }
             self.write_batch(write_rate_limit, now);
         }
         for id in self.leader.take_records_of_unknown_version() {
@@ -261,9 +266,13 @@
 
     /// Writes the next batch of records if one is due and the rate limit permits it.
     fn write_batch(&mut self, write_rate_limit: &mut RateLimit, now: Time) {
+        // A batch whose response was lost is repeated before a higher token is claimed.
+        let awaits_higher_token =
+            self.leader.wants_higher_token() && self.leader.is_write_settled();
         if !self.leader.is_write_idle()
             || now < self.next_batch_at
             || self.is_writing_quota_changes()
+            || awaits_higher_token
         {
             return;
         }
@@ -292,6 +301,15 @@
         }
     }
 
+    /// Whether the leader's term is to be raised now, which changes the leader's key: no write that depends on the
+    /// version of the key is in flight, and none begins before the leader has the higher token.
+    pub(super) fn is_term_raise_due(&self) -> bool {
+        self.leader.wants_higher_token()
+            && self.leader.is_write_settled()
+            && !self.is_writing_quota_changes()
+            && !self.is_writing_zones_record
+    }
+
     /// Carries out an action that the leader requests. Commands that run tasks are not sent without a valid lease.
     fn execute(&mut self, network: &mut impl Network, action: Action, now: Time) {
         match action {
@@ -312,7 +330,7 @@
                             .on_command_result(&host, incarnation, &commands, result, now);
                     return;
                 }
-                let fencing_token = self.leader.term();
+                let fencing_token = self.leader.fencing_token();
                 let body = encode(&CommandRequest {
                     fencing_token,
                     incarnation,
--- a/src/node/leader_duties/zones.rs
+++ b/src/node/leader_duties/zones.rs
@@ -51,6 +51,7 @@
         txn.require(ZONES_KEY.to_owned(), version);
         txn.changes
             .push(Change::put(ZONES_KEY.to_owned(), value(&record)));
+        self.is_writing_zones_record = true;
         let request = StoreRequest::Txn(txn);
         let leader_request = LeaderRequest::WriteZonesRecord;
         self.queued_requests.push((
@@ -67,6 +68,7 @@
         outcome: Outcome,
         now: Time,
     ) -> Result<(), LeadershipLost> {
+        self.is_writing_zones_record = false;
         let is_written = matches!(outcome, Outcome::Committed(_));
         self.leader.on_zones_record_written(is_written, now);
         match outcome {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -301,21 +301,17 @@
         let now = self.network.now();
         let Some(action) = action else { return };
         let (step, request) = match action {
-            ElectionAction::ReadRecords => {
-                let prefix = records::LEADERSHIP_PREFIX.to_owned();
-                (
-                    ElectionStep::ReadRecords,
-                    StoreRequest::List {
-                        prefix,
-                        after: String::new(),
-                        limit: 10,
-                    },
-                )
-            }
+            ElectionAction::ReadRecords => (ElectionStep::ReadRecords, read_election_records()),
             ElectionAction::GrantLease(ttl) => {
                 (ElectionStep::GrantLease, StoreRequest::GrantLease(ttl))
             }
             ElectionAction::Claim(txn) => (ElectionStep::Claim, StoreRequest::Txn(txn)),
+            ElectionAction::RaiseTerm { term, txn } => {
+                if let Some(duties) = &mut self.duties {
+                    duties.leader.on_token_claim_begun(term);
+                }
+                (ElectionStep::RaiseTerm(term), StoreRequest::Txn(txn))
+            }
             ElectionAction::Renew(lease) => {
                 (ElectionStep::Renew(lease), StoreRequest::RenewLease(lease))
             }
@@ -330,6 +326,10 @@
                 term,
                 leader_key_version,
             } => return self.begin_leading(term, leader_key_version, now),
+            ElectionAction::TermRaised {
+                term,
+                leader_key_version,
+            } => return self.on_term_raised(term, leader_key_version, now),
             ElectionAction::StepDown => {
                 self.duties = None;
                 return;
@@ -366,7 +366,18 @@
                 duties.leader.on_cancellation(*job, now);
             }
         }
-        // Peers learn at once which controller leads, so that they redirect workers to it.
+        self.schedule_peer_heartbeats(now);
+    }
+
+    fn on_term_raised(&mut self, term: Term, leader_key_version: Version, now: Time) {
+        if let Some(duties) = &mut self.duties {
+            duties.leader.on_token_raised(term, leader_key_version, now);
+        }
+        self.schedule_peer_heartbeats(now);
+    }
+
+    /// Lets the peers learn at once which controller leads in which term, so that they redirect workers to it.
+    fn schedule_peer_heartbeats(&mut self, now: Time) {
         for peer in &mut self.peers {
             peer.schedule_heartbeat_now(now);
         }
@@ -399,6 +410,15 @@
         .flatten()
 }
 
+/// The request that reads the records below `lead/`.
+fn read_election_records() -> StoreRequest {
+    StoreRequest::List {
+        prefix: records::LEADERSHIP_PREFIX.to_owned(),
+        after: String::new(),
+        limit: 10,
+    }
+}
+
 /// Extracts the election's records from a page of the records below `lead/`.
 fn parse_election_records(page: &Page) -> ElectionRecords {
     let mut election_records = ElectionRecords::default();
--- a/src/node/periodic.rs
+++ b/src/node/periodic.rs
@@ -97,6 +97,10 @@
                 self.request_origins
                     .insert(id, RequestOrigin::LeaderDuties(term, leader_request));
             }
+            if duties.is_term_raise_due() {
+                let action = self.election.begin_term_raise(now);
+                self.execute_election_action(action);
+            }
         }
         self.flush_api(now);
         loop {
--- a/src/node/requests.rs
+++ b/src/node/requests.rs
@@ -149,9 +149,13 @@
             if duties.leader.must_let_leases_expire(now) {
                 return Response::retry_later(503, 1);
             }
+            if duties.leader.is_token_undecided(heartbeat.fencing_token) {
+                // The worker would drop a response with the lower token, and stay here while its lease expires.
+                return Response::retry_later(503, 1);
+            }
             match duties.leader.on_heartbeat(&heartbeat, now) {
                 Ok(commands) => {
-                    let fencing_token = duties.leader.term();
+                    let fencing_token = duties.leader.fencing_token();
                     return Response::new(
                         200,
                         encode(&HeartbeatResponse {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -468,8 +468,24 @@
                     until => Time((until.parse::<f64>().expect("seconds") * 1000.0) as u64),
                 });
             }
+            "raised" => {
+                let token = Term(self.leader.fencing_token().0 + 1);
+                self.leader.on_token_claim_begun(token);
+                self.store_version += 1;
+                self.leader
+                    .on_token_raised(token, Version(self.store_version), now);
+            }
+            "claiming" => self
+                .leader
+                .on_token_claim_begun(Term(words[1].parse().expect("a token"))),
             "thaw" => self.leader.on_process_resumed(),
-            "tick" => self.leader.tick(now, now.0),
+            "tick" => {
+                let wanted_before = self.leader.wants_higher_token();
+                self.leader.tick(now, now.0);
+                if self.leader.wants_higher_token() && !wanted_before {
+                    self.print("raise the token");
+                }
+            }
             "rented" => {
                 let result = match &words[2..] {
                     ["unknown"] => ProvisionResult::Unknown,
