No number of ended attempts makes a worker forget a late run

Cause: above 200 ended attempts on a host all were cleared at once, also those that a direct run had started seconds before. A copy of that run then started the first attempt beside the next one on another machine. Told apart by the log line: cleared 7.007 s after its end with its retention not over, 233 attempts listed, token and incarnation unchanged. What it was for, short heartbeats, follows from two things that stay: a higher token is claimed from 30 ended attempts on, and above 60 tasks are started in responses only, whose attempts can be cleared at once. With it goes the count of runs without a response: an answered run may arrive again as well as an unanswered one, so the two are not told apart any more.

--- a/src/coordination/cluster/commands.rs
+++ b/src/coordination/cluster/commands.rs
@@ -9,9 +9,6 @@
 use crate::protocol::workers::Command;
 use crate::types::{Attempt, HostName, Incarnation, SequenceNumber, TaskId, Term, Time};
 
-/// Above this many ended attempts on a host, they are cleared although copies of their `run` may still arrive, to keep
-/// heartbeats small.
-const MAX_RETAINED_ATTEMPTS: usize = 200;
 /// Above this many ended attempts on a host, tasks are started in heartbeat responses only. No copy of a response
 /// arrives late, so attempts that a response started can be cleared as soon as they have ended.
 const MAX_ATTEMPTS_FOR_DIRECT_RUN: usize = 60;
@@ -43,11 +40,11 @@
 /// What is known of a request with direct commands once it has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Delivery {
-    /// The worker has answered.
+    /// The worker has answered. Copies of the commands may still be executed.
     Answered,
     /// There was no response: the commands may have been executed, or may still be.
     Unanswered,
-    /// The commands were certainly not executed.
+    /// Neither the commands nor copies of them were or will be executed.
     NotExecuted,
 }
 
@@ -104,16 +101,12 @@
                 "no response to direct commands: each may still be executed"
             );
         }
-        if host.incarnation != incarnation {
+        if host.incarnation != incarnation || delivery != Delivery::NotExecuted {
             return;
         }
         for command in commands {
             if let Command::Run { task, attempt } = command {
-                match delivery {
-                    Delivery::Answered => host.on_run_acknowledged(*task, *attempt),
-                    Delivery::NotExecuted => host.on_run_not_executed(*task, *attempt),
-                    Delivery::Unanswered => {}
-                }
+                host.on_run_not_executed(*task, *attempt);
             }
         }
     }
@@ -183,7 +176,6 @@
     /// `clear` the worker has forgotten the attempt, and a late copy of its `run` would start it again. Requests a higher
     /// fencing token, which excludes such copies, if attempts have waited long or are many.
     fn clear_commands(&mut self, host: &Host, context: CommandContext) -> Vec<Command> {
-        let has_too_many_ended_attempts = host.ended_attempts.len() > MAX_RETAINED_ATTEMPTS;
         let has_many_ended_attempts = host.ended_attempts.len() >= ENDED_ATTEMPTS_BEFORE_RAISE;
         let mut commands = Vec::new();
         for (&(task, attempt), ended) in &host.ended_attempts {
@@ -192,10 +184,7 @@
             {
                 continue;
             }
-            let is_run_answered = !host.is_run_unacknowledged(task, attempt);
-            if host.may_run_arrive_late(task, attempt)
-                && !(has_too_many_ended_attempts && is_run_answered)
-            {
+            if host.may_run_arrive_late(task, attempt) {
                 let listed_for = context.now.since(ended.first_listed_at);
                 self.is_token_raise_requested |= (has_many_ended_attempts
                     || listed_for >= context.max_listing_time)
@@ -253,7 +242,6 @@
         fencing_token = %host.fencing_token,
         incarnation = %host.incarnation,
         listed_for = ?now.since(ended.first_listed_at),
-        may_run_arrive_late = host.may_run_arrive_late(task, attempt),
         listed_attempts = host.ended_attempts.len(),
         "clearing an ended attempt"
     );
--- a/src/coordination/cluster/late_runs.rs
+++ b/src/coordination/cluster/late_runs.rs
@@ -19,8 +19,6 @@
     token: Term,
     /// The fencing token of the last one before it, if there was one.
     earlier_token: Option<Term>,
-    /// How many have had no response.
-    unacknowledged_count: u32,
 }
 
 impl Host {
@@ -113,33 +111,18 @@
         allocation.is_some_and(|a| self.may_run_arrive_late(task, a.attempt))
     }
 
-    /// Whether a direct `run` of the attempt has had no response.
-    pub(super) fn is_run_unacknowledged(&self, task: TaskId, attempt: Attempt) -> bool {
-        let direct_run = self.direct_runs.get(&(task, attempt));
-        direct_run.is_some_and(|direct_run| direct_run.unacknowledged_count > 0)
-    }
-
     /// Notes that a `run` of the attempt is sent as a direct command with this token.
     pub(super) fn on_run_sent_directly(&mut self, task: TaskId, attempt: Attempt, token: Term) {
         let earlier = self.direct_runs.get(&(task, attempt));
         let direct_run = DirectRun {
             token,
             earlier_token: earlier.map(|direct_run| direct_run.token),
-            unacknowledged_count: earlier.map_or(0, |run| run.unacknowledged_count) + 1,
         };
         self.direct_runs.insert((task, attempt), direct_run);
     }
 
-    /// Notes that the last direct `run` of the attempt has had its response.
-    pub(super) fn on_run_acknowledged(&mut self, task: TaskId, attempt: Attempt) {
-        if let Some(direct_run) = self.direct_runs.get_mut(&(task, attempt)) {
-            direct_run.unacknowledged_count -= 1;
-        }
-    }
-
     /// Notes that the last direct `run` of the attempt was never sent, or certainly neither it nor a copy is executed.
     pub(super) fn on_run_not_executed(&mut self, task: TaskId, attempt: Attempt) {
-        self.on_run_acknowledged(task, attempt);
         let Some(direct_run) = self.direct_runs.get_mut(&(task, attempt)) else {
             return;
         };
