A new leader does not start the tasks of a finished job again

Cause: once the outcome of a job is written, its run records are not written any more, while the worker may be told to forget the attempts. If the leader ends before the records are deleted, the next one loaded their allocations without a reason to stop them, and sent run under the old attempt numbers. Change: allocations in the run records of a finished job are left out when they are loaded.

--- a/src/coordination/cluster/loading.rs
+++ b/src/coordination/cluster/loading.rs
@@ -7,7 +7,8 @@
 use crate::types::{JobId, TaskId, Time, Version};
 
 impl ClusterState {
-    /// Applies a run record and the allocations in it.
+    /// Applies a run record and the allocations in it. Those of a finished job are left out: its run records were not
+    /// written any more once its outcome was, so they name tasks that are complete and that workers may have forgotten.
     pub(crate) fn load_run_record(
         &mut self,
         id: RunRecordId,
@@ -21,7 +22,9 @@
             .or_insert_with(|| Job::from_run_record(id.job, record, now));
         let (resources, team) = (job.task_resources, job.team.clone());
         let stop_reason = (job.phase == JobPhase::Cancelled).then_some(StopReason::Cancelled);
-        for recorded in job.load_run_record(id.number, record, version) {
+        let is_finished = job.phase == JobPhase::GarbageCollecting;
+        let allocations = job.load_run_record(id.number, record, version);
+        for recorded in allocations.into_iter().filter(|_| !is_finished) {
             let host = self
                 .hosts
                 .entry(recorded.host.clone())
