Simulated network: copies of commands arrive late in every scenario

Commands of earlier versions are not copied, as those do not withstand it. The invariant AttemptRunsOnce reports an attempt that its worker was told to forget and that starts again. As the protocol says, a worker reports a higher token at once no more than once in half a lease.

--- a/tests/simulated/checker/mod.rs
+++ b/tests/simulated/checker/mod.rs
@@ -23,6 +23,8 @@
 pub enum Invariant {
     /// A task runs on at most one host at a time.
     TaskRunsOnce,
+    /// An attempt that its worker was told to forget is not started again.
+    AttemptRunsOnce,
     /// A team uses no more than its limit.
     TeamLimit,
     /// The quota records of the teams agree with each other and with the allocations.
--- a/tests/simulated/fleet/messages.rs
+++ b/tests/simulated/fleet/messages.rs
@@ -6,7 +6,7 @@
 use lichencrank_testkit::values::text;
 
 use super::{scaled, Fleet, FleetEnvironment};
-use crate::simulated::checker::Observation;
+use crate::simulated::checker::{Invariant, Observation};
 use crate::simulated::deployment::MACHINE_TYPE;
 use crate::simulated::event_queue::Event;
 use crate::simulated::history::Mark;
@@ -224,8 +224,16 @@
         };
         let context = &mut *environment.context;
         context.note(format!("{host}: {task} {change:?}"));
+        if let TaskChange::AcceptedAgain { attempt } = change {
+            let details =
+                format!("{host} starts {task} attempt {attempt}, which it was told to forget");
+            context.report(Invariant::AttemptRunsOnce, details);
+            continue;
+        }
         context.observe(match change {
-            TaskChange::Accepted => Observation::TaskAccepted { host, task },
+            TaskChange::Accepted | TaskChange::AcceptedAgain { .. } => {
+                Observation::TaskAccepted { host, task }
+            }
             TaskChange::Started => Observation::TaskStarted { host, task },
             TaskChange::Ended { is_complete } => Observation::TaskEnded {
                 host,
--- a/tests/simulated/fleet/mod.rs
+++ b/tests/simulated/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! The hosts: the cloud that provisions them, the worker on each, and their messages to and from the controllers.
 
+mod command_copies;
 mod heartbeat_copies;
 mod messages;
 mod rental;
@@ -22,6 +23,7 @@
 use super::script::command::{HostFault, ReplicaEnd};
 use super::users::Users;
 use super::worker::{HostSpec, Worker};
+use command_copies::CommandCopies;
 use heartbeat_copies::HeartbeatCopies;
 use messages::observe_tasks;
 
@@ -58,11 +60,12 @@
     /// Whether the checker judges releases in isolated zones.
     checks_zone_releases: bool,
     heartbeat_copies: HeartbeatCopies,
+    command_copies: CommandCopies,
 }
 
 impl Fleet {
-    /// A fleet without hosts.
-    pub fn new(deployment: &Deployment) -> Fleet {
+    /// A fleet without hosts. The seed determines which commands to workers are copied.
+    pub fn new(deployment: &Deployment, seed: u64) -> Fleet {
         Fleet {
             cloud: Cloud::new(deployment.host_capacity, deployment.host_list_lag),
             workers: BTreeMap::new(),
@@ -73,6 +76,7 @@
             worker_lease: deployment.worker_lease,
             checks_zone_releases: deployment.tracks_zones,
             heartbeat_copies: HeartbeatCopies::new(deployment.worker_lease),
+            command_copies: CommandCopies::new(seed),
         }
     }
 
@@ -164,6 +168,11 @@
         &mut self.heartbeat_copies
     }
 
+    /// The copies of direct commands.
+    pub fn command_copies_mut(&mut self) -> &mut CommandCopies {
+        &mut self.command_copies
+    }
+
     /// Pauses the workers of the hosts with tasks of a job.
     pub fn pause_hosts_of(&mut self, job: JobId, window: FaultWindow) {
         let workers = self.workers.values_mut();
--- a/tests/simulated/simulation/commands.rs
+++ b/tests/simulated/simulation/commands.rs
@@ -175,6 +175,8 @@
         self.controllers.kill(node);
         let process = self.controllers.last_process(node);
         self.network.drop_calls_of(process);
+        let copies = self.fleet.command_copies_mut();
+        copies.send_retained(&mut self.context);
         let start = Event::StartController(node);
         self.context.schedule_after(restart_after, start);
     }
--- a/tests/simulated/simulation/mod.rs
+++ b/tests/simulated/simulation/mod.rs
@@ -67,7 +67,7 @@
             controllers: Controllers::new(launcher, features, clock),
             network,
             store: KeyValueStore::new(deployment.store_limits),
-            fleet: Fleet::new(&deployment),
+            fleet: Fleet::new(&deployment, seed),
             users: Users::default(),
             embedder: None,
             leadership: Leadership::default(),
--- a/tests/simulated/simulation/routing.rs
+++ b/tests/simulated/simulation/routing.rs
@@ -14,6 +14,7 @@
 use crate::simulated::ids::{CallHandle, NodeIndex, ProcessId, RequestId};
 use crate::simulated::load_balancer;
 use crate::simulated::network::{RemoteEnd, Requester};
+use crate::simulated::process::Version;
 use crate::simulated::store::{Delivery, StoreOutcome, StoreResponse, WatchResponse};
 use crate::simulated::transport::{Outgoing, OutgoingCall};
 use crate::simulated::users::{Membership, PlannedRequest};
@@ -196,10 +197,16 @@
         host_spec: HostSpec,
         latency: Duration,
     ) {
+        let command = decode(&call.body).unwrap_or(Value::Null);
+        // Earlier versions do not withstand copies of their commands.
+        if self.controllers.version(handle.process.node) == Version::Current {
+            let copies = self.fleet.command_copies_mut();
+            copies.copy(&mut self.context, &host_spec.name, handle, &command);
+        }
         let arrival = Event::WorkerCommand {
             host: host_spec.name,
             call: handle,
-            command: decode(&call.body).unwrap_or(Value::Null),
+            command,
         };
         let remote = RemoteEnd::Worker {
             zone: &host_spec.zone,
--- a/tests/simulated/worker/mod.rs
+++ b/tests/simulated/worker/mod.rs
@@ -69,6 +69,8 @@
     sequence_number: u64,
     /// Highest fencing token that the worker has seen.
     fencing_token: u64,
+    /// When a higher fencing token last counted as a change of the status.
+    token_changed_at: Option<SimTime>,
     lease: Duration,
     /// When the last heartbeat that renewed the lease was sent.
     lease_renewed_at: SimTime,
@@ -100,6 +102,7 @@
             incarnation: 1,
             sequence_number: 0,
             fencing_token: 0,
+            token_changed_at: None,
             lease: Duration::ZERO,
             lease_renewed_at: SimTime::START,
             tasks: TaskRunner::new(image_load_time),
@@ -299,7 +302,7 @@
             return;
         }
         self.heartbeats.clear_in_flight();
-        if self.accepts_token(message) {
+        if self.accepts_token(message, now) {
             self.lease_renewed_at = heartbeat.sent_at;
             self.execute_commands(message, now, lookup);
         }
@@ -314,7 +317,7 @@
         lookup: ProfileLookup,
     ) -> bool {
         let is_for_incarnation = number(message, "tenure") == self.incarnation;
-        if !is_for_incarnation || !self.accepts_token(message) {
+        if !is_for_incarnation || !self.accepts_token(message, now) {
             return false;
         }
         self.execute_commands(message, now, lookup);
@@ -323,18 +326,29 @@
 
     /// Whether the message has a fencing token (0 is none) that is not lower than the highest one seen so far.
     /// Remembers the token if so.
-    fn accepts_token(&mut self, message: &Value) -> bool {
+    fn accepts_token(&mut self, message: &Value, now: SimTime) -> bool {
         let token = number(message, "baton");
         if token == 0 || token < self.fencing_token {
             return false;
         }
         if token > self.fencing_token {
-            self.heartbeats.note_change();
+            self.note_higher_token(now);
         }
         self.fencing_token = token;
         true
     }
 
+    /// A higher token counts as a change no more than once in half of the lease.
+    fn note_higher_token(&mut self, now: SimTime) {
+        let is_change = self
+            .token_changed_at
+            .is_none_or(|at| now >= at + self.lease / 2);
+        if is_change {
+            self.token_changed_at = Some(now);
+            self.heartbeats.note_change();
+        }
+    }
+
     fn execute_commands(&mut self, message: &Value, now: SimTime, lookup: ProfileLookup) {
         for command in list(message, "orders") {
             let id = AttemptId {
--- a/tests/simulated/worker/task_runner.rs
+++ b/tests/simulated/worker/task_runner.rs
@@ -1,6 +1,7 @@
 //! The task attempts on a host. An attempt loads its image, runs, ends, and is kept until the leader acknowledges
 //! its end.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use ciborium::Value;
@@ -62,7 +63,7 @@
 }
 
 /// Identifies an attempt at a task.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct AttemptId {
     /// Name of the task, as given in the command.
     pub task: String,
@@ -102,6 +103,11 @@
 pub enum TaskChange {
     /// The host has reserved CPUs for the task and loads its image.
     Accepted,
+    /// The host has accepted an attempt once more that the leader had told it to forget.
+    AcceptedAgain {
+        /// Number of the attempt.
+        attempt: u64,
+    },
     /// The task has started to run.
     Started,
     /// The task has ended, possibly before it started.
@@ -126,6 +132,8 @@
     /// How long the image of a task takes to load.
     image_load_time: Duration,
     attempts: Vec<TaskAttempt>,
+    /// The attempts that the leader has told the worker to forget in this incarnation.
+    cleared: HashSet<AttemptId>,
     events: Vec<TaskEvent>,
 }
 
@@ -135,6 +143,7 @@
         TaskRunner {
             image_load_time,
             attempts: Vec::new(),
+            cleared: HashSet::new(),
             events: Vec::new(),
         }
     }
@@ -225,6 +234,7 @@
 
     /// Ends and removes all attempts, as the host is gone or the worker's lease has expired.
     pub fn end_all(&mut self) {
+        self.cleared.clear();
         for attempt in std::mem::take(&mut self.attempts) {
             if !attempt.has_ended() {
                 let change = TaskChange::Ended { is_complete: false };
@@ -284,6 +294,10 @@
         if self.position(&id).is_some() {
             return false;
         }
+        if self.cleared.contains(&id) {
+            let attempt = id.number;
+            self.push_event(&id.task, TaskChange::AcceptedAgain { attempt });
+        }
         let profile = lookup(&id.task);
         let state = match self.refusal_reason(&id.task, profile) {
             Some(end_reason) => AttemptState::Ended(end_reason),
@@ -339,6 +353,8 @@
         let index = self.position(id);
         let ended = index.filter(|index| self.attempts[*index].has_ended());
         let ended = ended.map(|index| self.attempts.remove(index));
-        ended.is_some()
+        let is_cleared = ended.is_some();
+        self.cleared.extend(ended.map(|attempt| attempt.id));
+        is_cleared
     }
 }
