A scenario for late starts: followers, leaders and machines are back within a second

It expects that workers reject copies that would start a task which they were told to forget. A raise of the leader's own term was counted as a take-over by the simulation, which would have made expectations of other scenarios easier to meet: a take-over is now one under another lease, and a raise has a mark of its own.

--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -53,6 +53,7 @@
     changing_hands: 1..5;
     quick_machines: 1..5;
     lost_starts: 1..5;
+    late_starts: 1..7;
     handover_in_outage: 1..7;
     old_reports: 1..5;
     one_task_jobs: 1..5;
--- a/tests/simulated/fleet/messages.rs
+++ b/tests/simulated/fleet/messages.rs
@@ -198,6 +198,9 @@
     let users = &environment.users;
     let lookup = |task: &str| users.task_profile(task);
     let is_executed = worker.execute_command(command, now, &lookup);
+    if !is_executed && worker.has_forgotten_any(command) {
+        environment.context.mark(Mark::LateStartRejected);
+    }
     let status = if is_executed { 200 } else { 409 };
     let response = Response::new(status, encode(&worker.status(now)));
     observe_tasks(environment, worker);
--- a/tests/simulated/history.rs
+++ b/tests/simulated/history.rs
@@ -58,6 +58,10 @@
     Takeover = "takeover",
     /// Another node leads, although the previous leader was running and its zone was not isolated.
     NeedlessTakeover = "moved",
+    /// The leader has raised its own term, which is the fencing token.
+    TermRaised = "raised",
+    /// A worker rejects a late copy of a command to start an attempt that it was told to forget.
+    LateStartRejected = "late-start-rejected",
     /// A controller process was killed.
     ControllerKilled = "killed",
     /// A controller was upgraded.
--- a/tests/simulated/leadership.rs
+++ b/tests/simulated/leadership.rs
@@ -11,8 +11,10 @@
 pub struct LeadershipChange {
     /// The previous leader, if another node holds the leadership now.
     pub replaced_leader: Option<NodeIndex>,
-    /// Whether a new term has begun.
+    /// Whether a node has begun to lead in a new term.
     pub is_new_term: bool,
+    /// Whether the leader has raised its own term.
+    pub is_term_raised: bool,
 }
 
 /// The last known leader and term.
@@ -20,6 +22,8 @@
 pub struct Leadership {
     term: u64,
     leader: Option<NodeIndex>,
+    /// The lease of the last leader. It keeps its lease when it raises its term.
+    lease: Option<u64>,
     /// The version that the leader of the last term ran.
     leader_version: Option<Version>,
 }
@@ -44,11 +48,14 @@
             let previous = self.leader.replace(holder);
             replaced_leader = previous.filter(|previous| *previous != holder);
         }
-        let is_new_term = record.term != self.term;
+        let has_term_changed = record.term != self.term;
+        let is_same_lease = record.lease.is_some() && record.lease == self.lease;
         self.term = record.term;
+        self.lease = record.lease.or(self.lease);
         LeadershipChange {
             replaced_leader,
-            is_new_term,
+            is_new_term: has_term_changed && !is_same_lease,
+            is_term_raised: has_term_changed && is_same_lease,
         }
     }
 
--- a/tests/simulated/simulation/mod.rs
+++ b/tests/simulated/simulation/mod.rs
@@ -243,6 +243,9 @@
         if change.is_new_term {
             self.handle_takeover();
         }
+        if change.is_term_raised {
+            self.context.mark(Mark::TermRaised);
+        }
     }
 
     /// Whether a node's process is running and its zone is not isolated.
--- a/tests/simulated/store.rs
+++ b/tests/simulated/store.rs
@@ -89,6 +89,8 @@
     pub term: u64,
     /// Name of the node that holds the leadership, if any.
     pub holder: Option<String>,
+    /// The lease to which the leader's key is attached, if any node holds the leadership.
+    pub lease: Option<u64>,
 }
 
 /// A controller whose requests the store refuses.
@@ -163,6 +165,7 @@
         LeaderRecord {
             term: term.map_or(0, |record| number(record, "term")),
             holder: holder.map(|record| text(record, "node")),
+            lease: holder.map(|record| number(record, "lease")),
         }
     }
 
--- a/tests/simulated/worker/mod.rs
+++ b/tests/simulated/worker/mod.rs
@@ -324,6 +324,14 @@
         true
     }
 
+    /// Whether the message has a command to run an attempt that the leader has told the worker to forget.
+    pub fn has_forgotten_any(&self, message: &Value) -> bool {
+        let mut commands = list(message, "orders").iter();
+        commands.any(|command| {
+            text(command, "verb") == "run" && self.tasks.is_cleared(&attempt_id(command))
+        })
+    }
+
     /// Whether the message has a fencing token (0 is none) that is not lower than the highest one seen so far.
     /// Remembers the token if so.
     fn accepts_token(&mut self, message: &Value, now: SimTime) -> bool {
@@ -351,10 +359,7 @@
 
     fn execute_commands(&mut self, message: &Value, now: SimTime, lookup: ProfileLookup) {
         for command in list(message, "orders") {
-            let id = AttemptId {
-                task: text(command, "piece"),
-                number: number(command, "try"),
-            };
+            let id = attempt_id(command);
             let has_effect = match text(command, "verb").as_str() {
                 "run" => self.tasks.run(id, now, lookup),
                 "stop" => self.tasks.stop(&id),
@@ -367,3 +372,11 @@
         }
     }
 }
+
+/// The attempt that a command is about.
+fn attempt_id(command: &Value) -> AttemptId {
+    AttemptId {
+        task: text(command, "piece"),
+        number: number(command, "try"),
+    }
+}
--- a/tests/simulated/worker/task_runner.rs
+++ b/tests/simulated/worker/task_runner.rs
@@ -285,6 +285,11 @@
 
 /// Commands of the leader.
 impl TaskRunner {
+    /// Whether the leader has told the worker to forget the attempt.
+    pub fn is_cleared(&self, id: &AttemptId) -> bool {
+        self.cleared.contains(id)
+    }
+
     fn position(&self, id: &AttemptId) -> Option<usize> {
         self.attempts.iter().position(|attempt| attempt.id == *id)
     }
@@ -294,7 +299,7 @@
         if self.position(&id).is_some() {
             return false;
         }
-        if self.cleared.contains(&id) {
+        if self.is_cleared(&id) {
             let attempt = id.number;
             self.push_event(&id.task, TaskChange::AcceptedAgain { attempt });
         }
