The forecast knows where replicas of a spread or confined service may run

Cause: the forecast took any machine of a usable type for room, while the placement rules out zones that hold too many of the job's tasks (apart) or all but one (samePlace). has_room_elsewhere had the same gap. Change: the forecast counts the job's tasks by zone, those included for which it reserves room, and uses the rule of the placement for hosts that are up and for the zones of hosts to request; a replica leaves early only for a host that it may use. Jobs without such a constraint are served as before.

--- a/src/coordination/autoscaling/forecast.rs
+++ b/src/coordination/autoscaling/forecast.rs
@@ -7,6 +7,7 @@
 use crate::coordination::autoscaling::provisioning::{CapacityPool, ARRIVAL_WINDOW};
 use crate::coordination::autoscaling::timeline::{HostTimeline, StartQueue};
 use crate::coordination::resources::Resources;
+use crate::coordination::scheduling::is_zone_allowed;
 use crate::coordination::scheduling::scoring;
 use crate::coordination::{Leader, View};
 use crate::protocol::cloud::MAX_PROVISION_COUNT;
@@ -32,6 +33,8 @@
     arrives_in_s: f64,
     /// Whether the job has not been submitted but is expected from recent arrivals.
     is_predicted: bool,
+    /// How many of its tasks each zone holds; empty if the job has no constraint that depends on it.
+    siblings_by_zone: BTreeMap<String, u64>,
 }
 
 impl JobDemand<'_> {
@@ -55,28 +58,28 @@
 impl Forecast {
     /// Reserves room for the replicas of a service that can start at once, if need be by preempting other tasks.
     /// Returns the number of these replicas.
-    fn reserve_by_preemption(&mut self, demand: &JobDemand, options: &StartOptions) -> u64 {
+    fn reserve_by_preemption(&mut self, demand: &JobDemand, options: &mut StartOptions) -> u64 {
         let spec = demand.spec;
         if !spec.is_service() {
             return 0;
         }
-        let task_resources = &options.task_resources;
-        let suits = |timeline: &HostTimeline| {
-            timeline.up_at_s <= demand.arrives_in_s + DEADLINE_MARGIN_S
-                && options.usable_types[timeline.type_index]
-                && (spec.allows_spot || !timeline.is_spot)
-                && spec
-                    .required_zone
-                    .as_ref()
-                    .is_none_or(|zone| *zone == timeline.zone)
-                && task_resources.fits(&timeline.free_for_services)
-        };
+        let task_resources = options.task_resources;
         let mut started = 0;
         while started < demand.task_count {
-            let Some(timeline) = self.timelines.iter_mut().find(|t| suits(t)) else {
+            let suits = |timeline: &HostTimeline| {
+                timeline.up_at_s <= demand.arrives_in_s + DEADLINE_MARGIN_S
+                    && options.usable_types[timeline.type_index]
+                    && (spec.allows_spot || !timeline.is_spot)
+                    && is_zone_allowed(spec, &timeline.zone, &options.siblings_by_zone)
+                    && task_resources.fits(&timeline.free_for_services)
+            };
+            let Some(index) = self.timelines.iter().position(suits) else {
                 break;
             };
-            timeline.free_for_services.subtract(task_resources);
+            self.timelines[index]
+                .free_for_services
+                .subtract(&task_resources);
+            options.on_task_reserved(spec, &self.timelines, index);
             started += 1;
         }
         started
@@ -117,6 +120,29 @@
     overflow_starts: StartQueue,
     /// Seconds until a host of those scarce types, requested now, could start a task.
     overflow_startup_delay_s: f64,
+    /// How many of the job's tasks each zone holds, those included for which room is reserved.
+    siblings_by_zone: BTreeMap<String, u64>,
+}
+
+impl StartOptions {
+    /// Counts a task for which room is reserved on the host with this timeline. Removes the hosts of the zones that the
+    /// job's constraints do not allow any more.
+    fn on_task_reserved(&mut self, spec: &JobSpec, timelines: &[HostTimeline], index: usize) {
+        if !spec.same_zone && !spec.spread {
+            return;
+        }
+        let is_first = self.siblings_by_zone.is_empty();
+        let zone = &timelines[index].zone;
+        *self.siblings_by_zone.entry(zone.clone()).or_default() += 1;
+        let siblings = &self.siblings_by_zone;
+        let excludes_zones = is_first || !is_zone_allowed(spec, zone, siblings);
+        if excludes_zones {
+            let is_allowed =
+                |timeline: &HostTimeline| is_zone_allowed(spec, &timeline.zone, siblings);
+            self.starts.retain(timelines, is_allowed);
+            self.overflow_starts.retain(timelines, is_allowed);
+        }
+    }
 }
 
 impl View<'_> {
@@ -139,6 +165,7 @@
                     .min(self.tasks_within_team_quota(job)),
                 arrives_in_s: 0.0,
                 is_predicted: false,
+                siblings_by_zone: self.siblings_by_zone(job, spec),
             });
         }
         demands
@@ -188,19 +215,31 @@
             let added_types: Vec<bool> = both
                 .map(|(is_overflow, is_usable)| *is_overflow && !*is_usable)
                 .collect();
-            overflow_starts = StartQueue::for_job(&forecast.timelines, demand.spec, &added_types);
+            overflow_starts = StartQueue::for_job(
+                &forecast.timelines,
+                demand.spec,
+                &demand.siblings_by_zone,
+                &added_types,
+            );
             overflow_startup_delay_s = self.min_startup_delay_s(demand.spec, &added_types);
         }
         let mut options = StartOptions {
             task_resources: scoring::task_resources(demand.spec),
-            starts: StartQueue::for_job(&forecast.timelines, demand.spec, &usable_types),
+            starts: StartQueue::for_job(
+                &forecast.timelines,
+                demand.spec,
+                &demand.siblings_by_zone,
+                &usable_types,
+            ),
             min_startup_delay_s: self.min_startup_delay_s(demand.spec, &usable_types),
             usable_types,
             overflow_types,
             overflow_starts,
             overflow_startup_delay_s,
+            siblings_by_zone: demand.siblings_by_zone.clone(),
         };
-        let waiting_count = demand.task_count - forecast.reserve_by_preemption(demand, &options);
+        let waiting_count =
+            demand.task_count - forecast.reserve_by_preemption(demand, &mut options);
         for waiting_tasks in (1..=waiting_count).rev() {
             forecast.task_count += 1;
             if forecast.task_count > MAX_FORECAST_TASKS
@@ -226,13 +265,15 @@
         if !demand.meets_deadline(start_s)
             && demand.meets_deadline(options.overflow_starts.earliest_start_s())
         {
-            let starts = &mut options.overflow_starts;
-            starts.reserve_earliest(
+            let reserved = options.overflow_starts.reserve_earliest(
                 &mut forecast.timelines,
                 arrives_in_s,
                 run_s,
                 &options.task_resources,
             );
+            if let Some(index) = reserved {
+                options.on_task_reserved(demand.spec, &forecast.timelines, index);
+            }
             return true;
         }
         let pool = self.pool_for_task(demand, start_s, waiting_tasks, options, forecast);
@@ -242,13 +283,16 @@
                 true
             }
             _ => {
-                let starts = &mut options.starts;
-                starts.reserve_earliest(
+                let reserved = options.starts.reserve_earliest(
                     &mut forecast.timelines,
                     arrives_in_s,
                     run_s,
                     &options.task_resources,
-                )
+                );
+                if let Some(index) = reserved {
+                    options.on_task_reserved(demand.spec, &forecast.timelines, index);
+                }
+                reserved.is_some()
             }
         }
     }
@@ -272,6 +316,7 @@
             return None;
         }
         let task = TaskForecast {
+            siblings_by_zone: &options.siblings_by_zone,
             start_s,
             run_s: demand.run_s,
             deadline_s: demand.deadline_s,
@@ -303,6 +348,7 @@
         forecast.timelines.push(timeline);
         let newest_index = forecast.timelines.len() - 1;
         starts.push(&forecast.timelines, newest_index, &options.task_resources);
+        options.on_task_reserved(demand.spec, &forecast.timelines, newest_index);
     }
 
     /// The demand that a recent arrival predicts for the time until a host requested now could start a task, if jobs go
@@ -330,6 +376,7 @@
                 as u64,
             arrives_in_s,
             is_predicted: true,
+            siblings_by_zone: BTreeMap::new(),
         })
         .filter(|demand| demand.task_count > 0)
     }
--- a/src/coordination/autoscaling/pools.rs
+++ b/src/coordination/autoscaling/pools.rs
@@ -1,7 +1,10 @@
 //! Which pool a host is provisioned from for a waiting task, and whether the host would start the task soon enough to
 //! be worth it.
 
+use std::collections::BTreeMap;
+
 use crate::coordination::autoscaling::provisioning::CapacityPool;
+use crate::coordination::scheduling::is_zone_allowed;
 use crate::coordination::scheduling::scoring::{self, capacity};
 use crate::coordination::View;
 use crate::protocol::users::{JobSpec, Priority};
@@ -24,7 +27,9 @@
 const MIN_BILLED_S: f64 = 60.0;
 
 /// The forecast for a waiting task. Times are seconds from now.
-pub(crate) struct TaskForecast {
+pub(crate) struct TaskForecast<'a> {
+    /// How many tasks of its job each zone holds or is to hold, which limits the zones that it may use.
+    pub(crate) siblings_by_zone: &'a BTreeMap<String, u64>,
     /// When it would start on the hosts that are up, expected or requested.
     pub(crate) start_s: f64,
     /// Its expected run time.
@@ -90,20 +95,7 @@
     ) -> Option<CapacityPool> {
         // Spot hosts serve nearly as well at a third of the price. For a task that may use them, an on-demand host is
         // worth its price only if no spot pool is available and the wait is long.
-        let is_spot_available = usable_types.iter().enumerate().any(|(index, is_usable)| {
-            let mut zones = self.cluster.machine_types()[index].zones.iter();
-            *is_usable
-                && zones.any(|zone| {
-                    !self.is_pool_unavailable(
-                        &CapacityPool {
-                            type_index: index,
-                            zone: zone.clone(),
-                            is_spot: true,
-                        },
-                        now,
-                    )
-                })
-        });
+        let is_spot_available = self.is_spot_available(spec, task, usable_types, now);
         // Best-effort tasks that may use spot hosts never get on-demand ones: they are to use cheap capacity.
         let is_above_best_effort = spec.priority != Priority::BestEffort;
         let on_demand_ok = !spec.allows_spot
@@ -114,9 +106,7 @@
                 continue;
             }
             let zones = machine_type.zones.iter();
-            for zone in
-                zones.filter(|zone| spec.required_zone.as_ref().is_none_or(|only| only == *zone))
-            {
+            for zone in zones.filter(|zone| is_zone_allowed(spec, zone, task.siblings_by_zone)) {
                 for spot in [true, false] {
                     let pool = CapacityPool {
                         type_index,
@@ -142,6 +132,32 @@
         best.map(|(_, pool)| pool)
     }
 
+    /// Whether any spot pool of the usable types may have capacity, for a job that its other tasks confine to some zones
+    /// in those zones.
+    fn is_spot_available(
+        &self,
+        spec: &JobSpec,
+        task: &TaskForecast,
+        usable_types: &[bool],
+        now: Time,
+    ) -> bool {
+        let is_confined = spec.same_zone || spec.spread;
+        let is_usable_zone =
+            |zone: &&String| !is_confined || is_zone_allowed(spec, zone, task.siblings_by_zone);
+        let spot_pool = |type_index: usize, zone: &String| CapacityPool {
+            type_index,
+            zone: zone.clone(),
+            is_spot: true,
+        };
+        usable_types.iter().enumerate().any(|(index, is_usable)| {
+            let zones = self.cluster.machine_types()[index].zones.iter();
+            let mut pools = zones
+                .filter(is_usable_zone)
+                .map(|zone| spot_pool(index, zone));
+            *is_usable && pools.any(|pool| !self.is_pool_unavailable(&pool, now))
+        })
+    }
+
     /// The cost of a task on a new host of the type, boot and image fetch included; higher if the task would miss its
     /// deadline there. Costs are only compared with each other.
     fn cost_per_task(
--- a/src/coordination/autoscaling/services.rs
+++ b/src/coordination/autoscaling/services.rs
@@ -1,14 +1,16 @@
 //! Capacity for services: their replicas run until the job is cancelled and have to start sooner than a host boots, so
 //! on-demand capacity is kept ready for them, and replicas are moved before their host is reclaimed.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::coordination::autoscaling::provisioning::CapacityPool;
 use crate::coordination::cluster::host::{CordonReason, Host, HostLifecycle, StopReason};
 use crate::coordination::cluster::job::{Job, JobPhase};
+use crate::coordination::scheduling::is_zone_allowed;
 use crate::coordination::scheduling::scoring::{self, capacity};
 use crate::coordination::{Leader, View};
+use crate::protocol::users::JobSpec;
 use crate::types::{duration_from_seconds, HostName, TaskId, Time};
 
 /// A replica is stopped this long before its host is reclaimed, even if no other host has room for the replica.
@@ -110,17 +112,16 @@
         Some((host.name.clone(), task))
     }
 
-    /// Whether a host other than the task's present one could take the task at once.
+    /// Whether a host other than the task's present one could take the task at once, beside the other tasks of its job.
     fn has_room_elsewhere(&self, task: TaskId, present_host: &Host, now: Time) -> bool {
-        let Some(spec) = self
-            .cluster
-            .jobs()
-            .get(&task.job)
-            .and_then(|job| job.spec.as_ref())
-        else {
+        let Some(job) = self.cluster.job(task.job) else {
+            return false;
+        };
+        let Some(spec) = job.spec.as_ref() else {
             return false;
         };
         let task_resources = scoring::task_resources(spec);
+        let siblings_by_zone = self.siblings_without(job, spec, present_host);
         self.cluster.hosts().values().any(|host| {
             let machine_type = host
                 .type_index
@@ -128,6 +129,7 @@
             host.name != present_host.name
                 && self.accepts_tasks(host, now)
                 && (spec.allows_spot || !host.is_spot)
+                && is_zone_allowed(spec, &host.zone, &siblings_by_zone)
                 && machine_type.is_some_and(|t| {
                     scoring::is_type_suitable(spec, t)
                         && task_resources
@@ -135,6 +137,16 @@
                 })
         })
     }
+
+    /// How many tasks of the job each zone holds, apart from one on this host.
+    fn siblings_without(&self, job: &Job, spec: &JobSpec, host: &Host) -> BTreeMap<String, u64> {
+        let mut siblings_by_zone = self.siblings_by_zone(job, spec);
+        if let Some(count) = siblings_by_zone.get_mut(&host.zone) {
+            *count -= 1;
+        }
+        siblings_by_zone.retain(|_, count| *count > 0);
+        siblings_by_zone
+    }
 }
 
 impl Leader {
--- a/src/coordination/autoscaling/timeline.rs
+++ b/src/coordination/autoscaling/timeline.rs
@@ -1,11 +1,12 @@
 //! When hosts that are up, expected or requested have room for further tasks, as the forecast assumes.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, BinaryHeap};
 
 use crate::coordination::autoscaling::provisioning::CapacityPool;
 use crate::coordination::cluster::host::{CordonReason, Host, HostLifecycle};
 use crate::coordination::resources::Resources;
+use crate::coordination::scheduling::is_zone_allowed;
 use crate::coordination::scheduling::scoring::{self, capacity};
 use crate::coordination::View;
 use crate::protocol::users::JobSpec;
@@ -75,20 +76,19 @@
 pub(crate) struct StartQueue(BinaryHeap<Reverse<(u64, usize)>>);
 
 impl StartQueue {
-    /// The queue for a job, of the hosts whose machine types are usable and that have room at some time.
+    /// The queue for a job, of the hosts whose machine types are usable, that are in a zone that its constraints allow
+    /// beside its tasks there, and that have room at some time.
     pub(crate) fn for_job(
         timelines: &[HostTimeline],
         spec: &JobSpec,
+        siblings_by_zone: &BTreeMap<String, u64>,
         usable_types: &[bool],
     ) -> StartQueue {
         let task_resources = scoring::task_resources(spec);
         let suits = |timeline: &HostTimeline| {
             usable_types[timeline.type_index]
                 && (spec.allows_spot || !timeline.is_spot)
-                && spec
-                    .required_zone
-                    .as_ref()
-                    .is_none_or(|zone| *zone == timeline.zone)
+                && is_zone_allowed(spec, &timeline.zone, siblings_by_zone)
         };
         let suited = timelines
             .iter()
@@ -111,25 +111,33 @@
         first.map_or(f64::INFINITY, |Reverse((bits, _))| f64::from_bits(*bits))
     }
 
+    /// Removes the hosts whose timelines do not meet the condition.
+    pub(crate) fn retain(
+        &mut self,
+        timelines: &[HostTimeline],
+        condition: impl Fn(&HostTimeline) -> bool,
+    ) {
+        self.0
+            .retain(|Reverse((_, index))| condition(&timelines[*index]));
+    }
+
     /// Reserves room for the next task on the host that could start it first, but not before `not_before_s`. Returns
-    /// false if no host can take it.
+    /// the index of the host's timeline; `None` if no host can take the task.
     pub(crate) fn reserve_earliest(
         &mut self,
         timelines: &mut [HostTimeline],
         not_before_s: f64,
         run_s: f64,
         task_resources: &Resources,
-    ) -> bool {
-        let Some(Reverse((bits, index))) = self.0.pop() else {
-            return false;
-        };
+    ) -> Option<usize> {
+        let Reverse((bits, index)) = self.0.pop()?;
         timelines[index].reserve(
             f64::from_bits(bits).max(not_before_s),
             run_s,
             task_resources,
         );
         self.push(timelines, index, task_resources);
-        true
+        Some(index)
     }
 
     /// Adds a host by the index of its timeline, if it has room for a task at some time.
--- a/src/coordination/scheduling/job_placement.rs
+++ b/src/coordination/scheduling/job_placement.rs
@@ -299,7 +299,7 @@
 
     /// How many of the job's tasks each zone holds, including those on unresponsive hosts; empty if the job has no
     /// constraint that depends on it.
-    fn siblings_by_zone(&self, job: &Job, spec: &JobSpec) -> BTreeMap<String, u64> {
+    pub(crate) fn siblings_by_zone(&self, job: &Job, spec: &JobSpec) -> BTreeMap<String, u64> {
         let mut siblings_by_zone = BTreeMap::new();
         if job.allocated_count > 0 && (spec.same_zone || spec.spread) {
             for host in self.cluster.hosts().values() {
--- a/src/coordination/scheduling/mod.rs
+++ b/src/coordination/scheduling/mod.rs
@@ -9,6 +9,8 @@
 pub mod scoring;
 mod type_eligibility;
 
+pub(crate) use job_placement::is_zone_allowed;
+
 use std::time::Duration;
 
 use crate::types::Time;
--- a/src/coordination/scheduling/preemption.rs
+++ b/src/coordination/scheduling/preemption.rs
@@ -6,7 +6,7 @@
 use crate::coordination::cluster::host::{Allocation, Host, StopReason};
 use crate::coordination::cluster::job::Job;
 use crate::coordination::resources::Resources;
-use crate::coordination::scheduling::job_placement::is_zone_allowed;
+use crate::coordination::scheduling::is_zone_allowed;
 use crate::coordination::scheduling::scoring::capacity;
 use crate::coordination::{Leader, View};
 use crate::protocol::users::{JobSpec, Priority};
