The forecast counts on preemption for a service only where the placement preempts

Cause: the forecast took all of a host that no replica uses for room, as if every other task could be stopped. The placement spares tasks of the same or a higher priority, tasks that would lose much run time, and those of a job that was starving; it stops none for a service with apart or samePlace. Change: a host's room for services is what is free or soon will be, and what tasks of a lower priority take that lose little. The loss of a task is computed in one place for both.

--- a/src/coordination/autoscaling/forecast.rs
+++ b/src/coordination/autoscaling/forecast.rs
@@ -71,14 +71,14 @@
                     && options.usable_types[timeline.type_index]
                     && (spec.allows_spot || !timeline.is_spot)
                     && is_zone_allowed(spec, &timeline.zone, &options.siblings_by_zone)
-                    && task_resources.fits(&timeline.free_for_services)
+                    && timeline.room_for_services.fits(spec)
             };
             let Some(index) = self.timelines.iter().position(suits) else {
                 break;
             };
             self.timelines[index]
-                .free_for_services
-                .subtract(&task_resources);
+                .room_for_services
+                .reserve(&task_resources);
             options.on_task_reserved(spec, &self.timelines, index);
             started += 1;
         }
--- a/src/coordination/autoscaling/timeline.rs
+++ b/src/coordination/autoscaling/timeline.rs
@@ -9,7 +9,7 @@
 use crate::coordination::scheduling::is_zone_allowed;
 use crate::coordination::scheduling::scoring::{self, capacity};
 use crate::coordination::View;
-use crate::protocol::users::JobSpec;
+use crate::protocol::users::{JobSpec, Priority};
 use crate::types::Time;
 
 /// A host that is not up after this multiple of its boot time may never come up, so the forecast ignores it.
@@ -26,14 +26,52 @@
     pub(crate) is_spot: bool,
     /// When it is up; 0 if it is up already.
     pub(crate) up_at_s: f64,
-    /// Capacity that no replica takes: services preempt all other tasks.
-    pub(crate) free_for_services: Resources,
+    /// Capacity that services can have at once.
+    pub(crate) room_for_services: RoomForServices,
     /// Capacity that no task takes.
     pub(crate) free: Resources,
     /// When tasks on it are expected to end and which resources that frees, in the order of time.
     pub(crate) expected_ends: Vec<(f64, Resources)>,
 }
 
+/// The capacity of a host that services can have at once: what is free or soon will be, and what tasks of a lower priority
+/// take that may be stopped for them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RoomForServices {
+    free: Resources,
+    preemptible: Vec<(Priority, Resources)>,
+    /// What the forecast has reserved for services.
+    reserved: Resources,
+}
+
+impl RoomForServices {
+    /// The room on a host with this much free and no task to be preempted.
+    fn with_free(free: Resources) -> RoomForServices {
+        RoomForServices {
+            free,
+            ..RoomForServices::default()
+        }
+    }
+
+    /// Whether a replica of the service has room. Nothing is preempted for a service whose replicas depend on each
+    /// other's zones.
+    pub(crate) fn fits(&self, spec: &JobSpec) -> bool {
+        let may_preempt = !spec.same_zone && !spec.spread;
+        let mut room = self.free;
+        for (priority, resources) in &self.preemptible {
+            if may_preempt && *priority > spec.priority {
+                room.add(resources);
+            }
+        }
+        scoring::task_resources(spec).fits(&room.saturating_sub(&self.reserved))
+    }
+
+    /// Reserves room for a replica.
+    pub(crate) fn reserve(&mut self, task_resources: &Resources) {
+        self.reserved.add(task_resources);
+    }
+}
+
 impl HostTimeline {
     /// When a task could start on it; `None` if it never has room.
     pub(crate) fn earliest_start_s(&self, task_resources: &Resources) -> Option<f64> {
@@ -190,8 +228,9 @@
                 return None
             }
         };
+        let free = capacity(machine_type).saturating_sub(&host.allocated_resources);
         let mut expected_ends = Vec::new();
-        let mut free_for_services = capacity(machine_type);
+        let mut room_for_services = RoomForServices::with_free(free);
         for (task, allocation) in &host.allocations {
             let job = self.cluster.jobs().get(&task.job);
             let remaining_s = job.map_or(UNKNOWN_JOB_REMAINING_S, |j| {
@@ -199,8 +238,13 @@
                     .expected_remaining_s(j, allocation.started_at, now)
             });
             expected_ends.push((remaining_s, allocation.resources));
-            if self.is_replica(*task) {
-                free_for_services.subtract(&allocation.resources);
+            if let Some(job) = job.filter(|job| !job.is_service()) {
+                if allocation.stop_reason.is_some() || self.ends_soon(job, allocation, now) {
+                    room_for_services.free.add(&allocation.resources);
+                } else if self.is_loss_small_for_service(job, allocation, now) {
+                    let preemptible = (job.priority(), allocation.resources);
+                    room_for_services.preemptible.push(preemptible);
+                }
             }
         }
         expected_ends.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -209,8 +253,8 @@
             zone: host.zone.clone(),
             is_spot: host.is_spot,
             up_at_s,
-            free_for_services,
-            free: capacity(machine_type).saturating_sub(&host.allocated_resources),
+            room_for_services,
+            free,
             expected_ends,
         })
     }
@@ -223,7 +267,7 @@
             zone: pool.zone,
             is_spot: pool.is_spot,
             up_at_s: machine_type.boot_time_s.0,
-            free_for_services: capacity(machine_type),
+            room_for_services: RoomForServices::with_free(capacity(machine_type)),
             free: capacity(machine_type),
             expected_ends: Vec::new(),
         }
--- a/src/coordination/scheduling/preemption.rs
+++ b/src/coordination/scheduling/preemption.rs
@@ -91,29 +91,32 @@
         })
     }
 
-    /// The run time in seconds that a task would lose if it were stopped for a task of `preemptor`; `None` if it may
-    /// not be stopped, or if that is not worth it.
-    fn preemption_loss_s(
+    /// Whether the run time that a task of the job would lose does not keep a service of a higher priority from stopping
+    /// it.
+    pub(crate) fn is_loss_small_for_service(
         &self,
-        task: TaskId,
+        job: &Job,
         allocation: &Allocation,
-        preemptor: &Job,
-        preemptor_spec: &JobSpec,
         now: Time,
-    ) -> Option<f64> {
-        let job = self.cluster.jobs().get(&task.job)?;
+    ) -> bool {
+        self.loss_if_stopped_s(job, allocation, now)
+            .is_some_and(|loss_s| loss_s <= MAX_LOSS_FOR_SERVICE_S)
+    }
+
+    /// Whether the task makes room without being stopped.
+    pub(crate) fn ends_soon(&self, job: &Job, allocation: &Allocation, now: Time) -> bool {
+        let remaining_s = self
+            .run_times
+            .expected_remaining_s(job, allocation.started_at, now);
+        remaining_s < ENDS_SOON_S
+    }
+
+    /// The run time in seconds that a task would lose if it were stopped; `None` if it is protected.
+    fn loss_if_stopped_s(&self, job: &Job, allocation: &Allocation, now: Time) -> Option<f64> {
         let spec = job.spec.as_ref()?;
         let run_time_s = allocation
             .started_at
             .map_or(0.0, |started_at| now.since(started_at).as_secs_f64());
-        // A task that saves its progress when it is stopped loses only the time that saving takes.
-        let saves_progress = spec.checkpoint_interval_s.0 > 0.0;
-        let loss_s = if saves_progress {
-            spec.save_time_s.0.min(run_time_s)
-        } else {
-            run_time_s
-        };
-        let is_allowed = self.may_preempt(job, preemptor) && allocation.stop_reason.is_none();
         // The first tasks of a job that was starving have to keep running, or the job would starve again.
         let starve_after = duration_from_seconds(self.policy.tuning.starvation_threshold_s);
         let waited =
@@ -124,11 +127,30 @@
         if waited >= starve_after && has_just_begun {
             return None;
         }
-        // A task that ends soon makes room without being stopped.
-        let ends_soon = self
-            .run_times
-            .expected_remaining_s(job, allocation.started_at, now)
-            < ENDS_SOON_S;
+        // A task that saves its progress when it is stopped loses only the time that saving takes.
+        let saves_progress = spec.checkpoint_interval_s.0 > 0.0;
+        Some(if saves_progress {
+            spec.save_time_s.0.min(run_time_s)
+        } else {
+            run_time_s
+        })
+    }
+
+    /// The run time in seconds that a task would lose if it were stopped for a task of `preemptor`; `None` if it may
+    /// not be stopped, or if that is not worth it.
+    fn preemption_loss_s(
+        &self,
+        task: TaskId,
+        allocation: &Allocation,
+        preemptor: &Job,
+        preemptor_spec: &JobSpec,
+        now: Time,
+    ) -> Option<f64> {
+        let job = self.cluster.jobs().get(&task.job)?;
+        let spec = job.spec.as_ref()?;
+        let loss_s = self.loss_if_stopped_s(job, allocation, now)?;
+        let is_allowed = self.may_preempt(job, preemptor) && allocation.stop_reason.is_none();
+        let ends_soon = self.ends_soon(job, allocation, now);
         let max_loss_s = if self.serves_guarantee(job, preemptor) {
             // A team's guarantee holds regardless of the run time that tasks beyond another team's guarantee lose.
             f64::INFINITY
