Room that a service preempts is kept for it

Cause: preemption goes by priority, the order of placement by the team's guarantee first. The room went back to a job of the same team that fits into the guarantee, with a lower priority, and its task was preempted again. Change: the room that tasks were stopped for is kept on that host for the service for up to 10 s, until it has a task there or none waits; other jobs may use the rest of the host. Preemption for arrays is as before: their victims lose at most a few seconds, and keeping room for them would hold up others.

--- a/src/coordination/scheduling/candidates.rs
+++ b/src/coordination/scheduling/candidates.rs
@@ -4,8 +4,9 @@
 
 use crate::coordination::cluster::host::Host;
 use crate::coordination::resources::Resources;
+use crate::coordination::scheduling::room_reservations::RoomReservation;
 use crate::coordination::scheduling::scoring::headroom_score;
-use crate::types::HostName;
+use crate::types::{HostName, JobId};
 
 /// A host with free resources, as one placement pass sees it. What the pass allocates on it is counted at once.
 pub(super) struct CandidateHost {
@@ -21,6 +22,8 @@
     pub(super) remembers_tasks: bool,
     /// Whether it is reserved for a starving job.
     pub(super) is_reserved: bool,
+    /// Room on it that is kept for a job which preempted tasks there.
+    pub(super) room_reservation: Option<RoomReservation>,
 }
 
 impl CandidateHost {
@@ -40,6 +43,7 @@
             has_failed_jobs: !host.failed_jobs.is_empty(),
             remembers_tasks: host.may_have_any_earlier_attempt(),
             is_reserved: false,
+            room_reservation: None,
         })
     }
 
@@ -48,6 +52,16 @@
         self.capacity.saturating_sub(&self.allocated)
     }
 
+    /// Its free resources without those that are kept for another job.
+    pub(super) fn free_for(&self, job: JobId) -> Resources {
+        let kept_for_other = self
+            .room_reservation
+            .filter(|reservation| reservation.job != job);
+        kept_for_other.map_or(self.free(), |reservation| {
+            self.free().saturating_sub(&reservation.resources)
+        })
+    }
+
     /// The host with its score for the tasks of a job. `index` is its index among the candidates of the pass,
     /// `has_sibling` whether it holds another task of the job.
     pub(super) fn scored(
--- a/src/coordination/scheduling/job_placement.rs
+++ b/src/coordination/scheduling/job_placement.rs
@@ -207,7 +207,7 @@
         for (index, candidate) in pass.candidates.iter().enumerate() {
             let has_room = usable_types.get(candidate.type_index) == Some(&true)
                 && !candidate.is_reserved
-                && job.task_resources.fits(&candidate.free())
+                && job.task_resources.fits(&candidate.free_for(job.id))
                 && (spec.allows_spot || !candidate.is_spot);
             let is_avoided = candidate.has_failed_jobs
                 && self.has_failed_recently(&candidate.name, job.id, pass.now);
--- a/src/coordination/scheduling/mod.rs
+++ b/src/coordination/scheduling/mod.rs
@@ -6,6 +6,7 @@
 mod placement;
 mod preemption;
 pub mod ranking;
+mod room_reservations;
 pub mod scoring;
 mod type_eligibility;
 
@@ -14,6 +15,7 @@
 use std::time::Duration;
 
 use crate::types::Time;
+use room_reservations::RoomReservations;
 
 /// The least time between two moves of a replica off a surplus host that holds nothing but replicas.
 const SURPLUS_HOST_MOVE_INTERVAL: Duration = Duration::from_secs(15);
@@ -28,6 +30,8 @@
     next_pass_at: Time,
     next_preemption_at: Time,
     next_surplus_move_at: Time,
+    /// Room that tasks were stopped for.
+    room_reservations: RoomReservations,
 }
 
 impl Scheduler {
@@ -36,6 +40,7 @@
             next_pass_at: now,
             next_preemption_at: now,
             next_surplus_move_at: now,
+            room_reservations: RoomReservations::default(),
         }
     }
 
--- a/src/coordination/scheduling/placement.rs
+++ b/src/coordination/scheduling/placement.rs
@@ -52,8 +52,18 @@
             return;
         }
         let scarce_types = self.view().scarce_types();
+        let cluster = &self.cluster;
+        let is_waiting = |job| cluster.job(job).is_some_and(|job| job.waiting_count() > 0);
+        self.scheduler
+            .room_reservations
+            .remove_outdated(is_waiting, now);
+        let mut candidates = self.view().candidates(now);
+        for candidate in &mut candidates {
+            let reservations = &self.scheduler.room_reservations;
+            candidate.room_reservation = reservations.on_host(&candidate.name, now);
+        }
         let mut pass = PlacementPass {
-            candidates: self.view().candidates(now),
+            candidates,
             unplaceable_profiles: Vec::new(),
             remaining_allocations: MAX_ALLOCATIONS_PER_PASS,
             zone_admissions: self.zone_admission_limits(now),
@@ -106,7 +116,13 @@
         let zone = candidate.zone.clone();
         *placement.siblings_by_zone.entry(zone).or_default() += 1;
         candidate.allocated.add(&placement.resources);
-        if placement.resources.fits(&candidate.free()) {
+        let reservation = candidate.room_reservation;
+        if reservation.is_some_and(|reservation| reservation.job == placement.id) {
+            candidate.room_reservation = None;
+            let reservations = &mut self.scheduler.room_reservations;
+            reservations.use_on(&candidate.name, placement.id);
+        }
+        if placement.resources.fits(&candidate.free_for(placement.id)) {
             let fetch_steps = self.view().fetch_steps(&placement.spec, &candidate.name);
             let needs_gpu = placement.resources.gpus > 0.0;
             let scored = candidate.scored(candidate_index, true, fetch_steps, needs_gpu);
--- a/src/coordination/scheduling/preemption.rs
+++ b/src/coordination/scheduling/preemption.rs
@@ -7,7 +7,7 @@
 use crate::coordination::cluster::job::Job;
 use crate::coordination::resources::Resources;
 use crate::coordination::scheduling::is_zone_allowed;
-use crate::coordination::scheduling::scoring::capacity;
+use crate::coordination::scheduling::scoring::{self, capacity};
 use crate::coordination::{Leader, View};
 use crate::protocol::users::{JobSpec, Priority};
 use crate::types::{duration_from_seconds, HostName, JobId, TaskId, Time};
@@ -206,16 +206,26 @@
         let host_count = if spec.is_service() { limit } else { preferred };
         let host_count = host_count.min(limit).max(1);
         for plan in plans.into_iter().take(host_count) {
-            let PreemptionPlan {
-                lost, host, tasks, ..
-            } = plan;
-            tracing::debug!(
-                "{id}: preempting {} tasks on {host}, losing {lost} CPU-seconds",
-                tasks.len()
-            );
-            for task in tasks {
-                self.stop_task(&host, task, StopReason::Preempted, now);
-            }
+            self.preempt(plan, id, spec, now);
+        }
+    }
+
+    /// Stops the tasks of the plan. The room is kept for a service; other jobs compete for it in the order of the queue.
+    fn preempt(&mut self, plan: PreemptionPlan, id: JobId, spec: &JobSpec, now: Time) {
+        let PreemptionPlan {
+            lost, host, tasks, ..
+        } = plan;
+        tracing::debug!(
+            "{id}: preempting {} tasks on {host}, losing {lost} CPU-seconds",
+            tasks.len()
+        );
+        for task in tasks {
+            self.stop_task(&host, task, StopReason::Preempted, now);
+        }
+        if spec.is_service() {
+            let resources = scoring::task_resources(spec);
+            let reservations = &mut self.scheduler.room_reservations;
+            reservations.reserve(host, id, resources, now);
         }
     }
 }
