Share the policy of the tests; split where a job's tasks may start from the forecast

Change: tests/fixtures holds the policy and the machine type, from which each test differs by name; StartOptions has a file of its own. Assertions, values and behaviour are unchanged (late_runs: a cancellation timeout of 40 s instead of 41 s and other limits on requests in flight, on which it does not depend).

--- a/src/coordination/autoscaling/forecast.rs
+++ b/src/coordination/autoscaling/forecast.rs
@@ -5,8 +5,8 @@
 
 use crate::coordination::autoscaling::pools::{TaskForecast, DEADLINE_MARGIN_S};
 use crate::coordination::autoscaling::provisioning::{CapacityPool, ARRIVAL_WINDOW};
+use crate::coordination::autoscaling::start_options::StartOptions;
 use crate::coordination::autoscaling::timeline::{HostTimeline, StartQueue};
-use crate::coordination::resources::Resources;
 use crate::coordination::scheduling::is_zone_allowed;
 use crate::coordination::scheduling::scoring;
 use crate::coordination::{Leader, View};
@@ -105,46 +105,6 @@
     }
 }
 
-/// Where the tasks of a job may start.
-struct StartOptions {
-    task_resources: Resources,
-    usable_types: Vec<bool>,
-    /// The hosts of the usable types.
-    starts: StartQueue,
-    /// Seconds until a host requested now could start a task.
-    min_startup_delay_s: f64,
-    /// The usable types and the scarce types kept for other jobs; `None` unless only the scarce types may meet the
-    /// deadline.
-    overflow_types: Option<Vec<bool>>,
-    /// The hosts of those scarce types alone.
-    overflow_starts: StartQueue,
-    /// Seconds until a host of those scarce types, requested now, could start a task.
-    overflow_startup_delay_s: f64,
-    /// How many of the job's tasks each zone holds, those included for which room is reserved.
-    siblings_by_zone: BTreeMap<String, u64>,
-}
-
-impl StartOptions {
-    /// Counts a task for which room is reserved on the host with this timeline. Removes the hosts of the zones that the
-    /// job's constraints do not allow any more.
-    fn on_task_reserved(&mut self, spec: &JobSpec, timelines: &[HostTimeline], index: usize) {
-        if !spec.same_zone && !spec.spread {
-            return;
-        }
-        let is_first = self.siblings_by_zone.is_empty();
-        let zone = &timelines[index].zone;
-        *self.siblings_by_zone.entry(zone.clone()).or_default() += 1;
-        let siblings = &self.siblings_by_zone;
-        let excludes_zones = is_first || !is_zone_allowed(spec, zone, siblings);
-        if excludes_zones {
-            let is_allowed =
-                |timeline: &HostTimeline| is_zone_allowed(spec, &timeline.zone, siblings);
-            self.starts.retain(timelines, is_allowed);
-            self.overflow_starts.retain(timelines, is_allowed);
-        }
-    }
-}
-
 impl View<'_> {
     /// The waiting tasks that may be placed, by job, in the order in which jobs are served.
     fn waiting_demand(&self, now: Time) -> Vec<JobDemand<'_>> {
--- a/src/coordination/autoscaling/mod.rs
+++ b/src/coordination/autoscaling/mod.rs
@@ -6,6 +6,7 @@
 pub mod provisioning;
 mod scale_in;
 mod services;
+mod start_options;
 pub mod timeline;
 
 pub(crate) use provisioning::Autoscaler;
--- a/tests/late_runs.rs
+++ b/tests/late_runs.rs
@@ -1,16 +1,16 @@
 //! A worker is told to forget an ended attempt only once no late copy of its direct `run` can be executed any more,
 //! however many ended attempts it lists and however old they are.
 
+mod fixtures;
+
 use std::time::Duration;
 
 use lichencrank::coordination::{Action, CommandResult, Leader, Policy};
-use lichencrank::protocol::cloud::MachineType;
 use lichencrank::protocol::users::{JobKind, JobSpec, Priority};
 use lichencrank::protocol::workers::{
     AttemptState, AttemptStatus, Command, EndReason, WorkerHeartbeat,
 };
 use lichencrank::protocol::Amount;
-use lichencrank::settings::{Team, Tuning};
 use lichencrank::storage::records::JobRecord;
 use lichencrank::storage::store::Outcome;
 use lichencrank::types::{
@@ -23,44 +23,14 @@
 const WORKER_LEASE: Duration = Duration::from_secs(16);
 const TASK_COUNT: u32 = 300;
 
-fn machine_type() -> MachineType {
-    MachineType {
-        name: "wide".into(),
-        cpus: Amount(32.0),
-        gpus: Amount(0.0),
-        memory_gb: Amount(128.0),
-        image_cache_gb: Amount(50.0),
-        image_fetch_gb_per_s: Amount(1.0),
-        on_demand_price_per_hour: Amount(1.0),
-        spot_price_per_hour: Amount(0.3),
-        boot_time_s: Amount(30.0),
-        zones: vec!["a".into()],
-    }
-}
-
 fn policy() -> Policy {
     Policy {
-        heartbeat_interval: Duration::from_secs(3),
         worker_lease: WORKER_LEASE,
-        cancellation_timeout: Duration::from_secs(41),
-        max_host_list_lag: Duration::from_secs(10),
         tasks_per_record: 64,
-        max_probes_in_flight: 4,
-        max_commands_in_flight: 8,
         max_queued_records_per_priority: 10_000,
         max_value_bytes: 32 * 1024,
         max_txn_changes: 24,
-        quota: None,
-        zones: None,
-        wait_objectives_s: Vec::new(),
-        teams: vec![Team {
-            name: "open".into(),
-            guaranteed_cpus: None,
-            max_cpus: None,
-            guaranteed_gpus: None,
-            max_gpus: None,
-        }],
-        tuning: Tuning::default(),
+        ..fixtures::policy()
     }
 }
 
@@ -106,7 +76,7 @@
 
 impl Cluster {
     fn new() -> Cluster {
-        let machine_types = vec![machine_type()];
+        let machine_types = vec![fixtures::wide_machine_type(32.0, 128.0)];
         let mut leader = Leader::new(TERM, Version(1), policy(), machine_types, Time(0));
         leader.set_lease_valid_until(Time(u64::MAX));
         leader.on_loaded(Time(0));
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -1,8 +1,9 @@
 //! Guards the candidate index of a placement pass: it has to choose the same host as a full scan of all hosts, which
 //! prefers a host without a sibling, that is another task of the job, then the highest score, then the first name.
 
+mod fixtures;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
 use lichencrank::coordination::resources::Resources;
 use lichencrank::coordination::scheduling::scoring::{capacity, headroom_score};
@@ -11,7 +12,6 @@
 use lichencrank::protocol::users::{JobKind, JobSpec, Priority};
 use lichencrank::protocol::workers::WorkerHeartbeat;
 use lichencrank::protocol::Amount;
-use lichencrank::settings::{Team, Tuning};
 use lichencrank::storage::records::JobRecord;
 use lichencrank::types::{HostName, Incarnation, JobId, SequenceNumber, Term, Time, Version};
 
@@ -47,27 +47,10 @@
 
 fn policy() -> Policy {
     Policy {
-        heartbeat_interval: Duration::from_secs(3),
-        worker_lease: Duration::from_secs(16),
-        cancellation_timeout: Duration::from_secs(40),
-        max_host_list_lag: Duration::from_secs(10),
-        tasks_per_record: 16,
         max_probes_in_flight: 4,
         max_commands_in_flight: 1000,
         max_queued_records_per_priority: 10_000,
-        max_value_bytes: 16 * 1024,
-        max_txn_changes: 16,
-        quota: None,
-        zones: None,
-        wait_objectives_s: Vec::new(),
-        teams: vec![Team {
-            name: "open".into(),
-            guaranteed_cpus: None,
-            max_cpus: None,
-            guaranteed_gpus: None,
-            max_gpus: None,
-        }],
-        tuning: Tuning::default(),
+        ..fixtures::policy()
     }
 }
 
--- a/tests/record_split.rs
+++ b/tests/record_split.rs
@@ -2,8 +2,9 @@
 //! in several transactions. After each of them, a new leader of this version or the earlier one finds all allocations
 //! and attempts.
 
+mod fixtures;
+
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use ciborium::Value;
 use lichencrank::coordination::{Leader, Policy};
@@ -11,7 +12,7 @@
 use lichencrank::protocol::users::{JobKind, JobSpec, Priority};
 use lichencrank::protocol::workers::{AttemptState, AttemptStatus, EndReason, WorkerHeartbeat};
 use lichencrank::protocol::Amount;
-use lichencrank::settings::{Team, Tuning};
+
 use lichencrank::storage::records::{
     self, AllocationEntry, AttemptedEntry, JobRecord, RunRecord, RunRecordId,
 };
@@ -120,27 +121,10 @@
 
 fn policy() -> Policy {
     Policy {
-        heartbeat_interval: Duration::from_secs(3),
-        worker_lease: Duration::from_secs(16),
-        cancellation_timeout: Duration::from_secs(40),
-        max_host_list_lag: Duration::from_secs(10),
         tasks_per_record: records::tasks_per_record(2.0),
-        max_probes_in_flight: 10,
-        max_commands_in_flight: 100,
         max_value_bytes: 2048,
         max_txn_changes: 5,
-        quota: None,
-        zones: None,
-        wait_objectives_s: Vec::new(),
-        max_queued_records_per_priority: 100,
-        teams: vec![Team {
-            name: "open".into(),
-            guaranteed_cpus: None,
-            max_cpus: None,
-            guaranteed_gpus: None,
-            max_gpus: None,
-        }],
-        tuning: Tuning::default(),
+        ..fixtures::policy()
     }
 }
 
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -1,6 +1,8 @@
 //! A job with as many tasks as the protocol allows: every record and transaction stays within the state service's
 //! limits, a new leader completes the job that its predecessor began, and only the outcome is left in the store.
 
+mod fixtures;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -12,7 +14,7 @@
     AttemptState, AttemptStatus, Command, EndReason, WorkerHeartbeat,
 };
 use lichencrank::protocol::Amount;
-use lichencrank::settings::{Team, Tuning};
+use lichencrank::settings::Tuning;
 use lichencrank::storage::records::{self, JobRecord};
 use lichencrank::storage::store::Outcome;
 use lichencrank::types::{
@@ -26,47 +28,18 @@
 const JOB: JobId = JobId(7);
 
 fn machine_types() -> Vec<MachineType> {
-    vec![MachineType {
-        name: "wide".into(),
-        cpus: Amount(64.0),
-        gpus: Amount(0.0),
-        memory_gb: Amount(512.0),
-        image_cache_gb: Amount(50.0),
-        image_fetch_gb_per_s: Amount(1.0),
-        on_demand_price_per_hour: Amount(1.0),
-        spot_price_per_hour: Amount(0.3),
-        boot_time_s: Amount(30.0),
-        zones: vec!["a".into()],
-    }]
+    vec![fixtures::wide_machine_type(64.0, 512.0)]
 }
 
 fn policy() -> Policy {
     Policy {
-        heartbeat_interval: Duration::from_secs(3),
-        worker_lease: Duration::from_secs(16),
-        cancellation_timeout: Duration::from_secs(40),
-        max_host_list_lag: Duration::from_secs(10),
         tasks_per_record: records::tasks_per_record(MAX_VALUE_KIB),
-        max_probes_in_flight: 10,
-        max_commands_in_flight: 100,
-        max_queued_records_per_priority: 100,
-        max_value_bytes: 16 * 1024,
-        max_txn_changes: 16,
-        quota: None,
-        zones: None,
-        wait_objectives_s: Vec::new(),
-        teams: vec![Team {
-            name: "open".into(),
-            guaranteed_cpus: None,
-            max_cpus: None,
-            guaranteed_gpus: None,
-            max_gpus: None,
-        }],
         tuning: Tuning {
             // No host is released as idle during the test.
             idle_release_s: 86_400.0,
             ..Tuning::default()
         },
+        ..fixtures::policy()
     }
 }
 
