Direct commands carry the token under which they were chosen

What callers saw: nothing yet; found by reading the raise of the token again. Cause: direct commands were remembered with the token of the moment at which they were chosen, and sent with that of the moment at which the request is made. If the raise was committed in between, a run was remembered under the lower token and sent under the raised one: once the worker had reported the raised one, the attempt could be cleared although a copy would still be executed. Besides, a run that was certainly not sent brought back an earlier token that was excluded already. Change: the action carries its token, probes included; an excluded token is not brought back.

--- a/src/coordination/actions.rs
+++ b/src/coordination/actions.rs
@@ -15,6 +15,9 @@
         host: HostName,
         /// The worker's address.
         address: SocketAddr,
+        /// The fencing token that the commands were chosen under. They are sent with it even if the leader has raised its
+        /// token meanwhile, as late copies are excluded by it.
+        fencing_token: Term,
         /// Incarnation of the worker that the commands are meant for.
         incarnation: Incarnation,
         /// The commands.
--- a/src/coordination/cluster/late_runs.rs
+++ b/src/coordination/cluster/late_runs.rs
@@ -126,7 +126,11 @@
         let Some(direct_run) = self.direct_runs.get_mut(&(task, attempt)) else {
             return;
         };
-        match direct_run.earlier_token {
+        let reported_token = self.fencing_token;
+        match direct_run
+            .earlier_token
+            .filter(|token| *token >= reported_token)
+        {
             Some(token) => direct_run.token = token,
             None => {
                 self.direct_runs.remove(&(task, attempt));
--- a/src/coordination/failure_detection/hosts.rs
+++ b/src/coordination/failure_detection/hosts.rs
@@ -347,6 +347,7 @@
             self.actions.push(Action::SendCommands {
                 host: probe.host,
                 address: probe.address,
+                fencing_token: self.fencing_token(),
                 incarnation: probe.incarnation,
                 commands: Vec::new(),
             });
--- a/src/coordination/leader/dispatch.rs
+++ b/src/coordination/leader/dispatch.rs
@@ -53,6 +53,7 @@
         self.actions.push(Action::SendCommands {
             host: name.clone(),
             address,
+            fencing_token: context.fencing_token,
             incarnation,
             commands,
         });
--- a/src/node/leader_duties/mod.rs
+++ b/src/node/leader_duties/mod.rs
@@ -316,6 +316,7 @@
             Action::SendCommands {
                 host,
                 address,
+                fencing_token,
                 incarnation,
                 commands,
             } => {
@@ -330,7 +331,6 @@
                             .on_command_result(&host, incarnation, &commands, result, now);
                     return;
                 }
-                let fencing_token = self.leader.fencing_token();
                 let body = encode(&CommandRequest {
                     fencing_token,
                     incarnation,
--- a/tests/late_runs.rs
+++ b/tests/late_runs.rs
@@ -152,6 +152,20 @@
         assert_eq!(self.listed.len(), TASK_COUNT as usize);
     }
 
+    /// The only direct commands that the leader has requested, and the incarnation that they are meant for.
+    fn take_commands(&mut self) -> (Vec<Command>, Incarnation) {
+        let actions = self.leader.take_actions();
+        let commands = actions.into_iter().find_map(|action| match action {
+            Action::SendCommands {
+                commands,
+                incarnation,
+                ..
+            } => Some((commands, incarnation)),
+            _ => None,
+        });
+        commands.expect("direct commands")
+    }
+
     fn write_records(&mut self) {
         while self.leader.next_batch(24, true).is_some() {
             self.store_version += 1;
@@ -171,6 +185,15 @@
     }
 }
 
+/// The first attempt that the commands start.
+fn run_in(commands: &[Command]) -> (TaskId, Attempt) {
+    let mut runs = commands.iter().filter_map(|command| match command {
+        Command::Run { task, attempt } => Some((*task, *attempt)),
+        _ => None,
+    });
+    runs.next().expect("a `run`")
+}
+
 /// review/7: above 200 ended attempts on a host all of them were cleared at once, also those whose direct `run` was a few
 /// seconds old. A late copy then started a task beside its next attempt on another host.
 #[test]
@@ -192,6 +215,61 @@
     assert_eq!(cleared, TASK_COUNT as usize);
 }
 
+/// A command that was chosen before a raise of the token and is sent after it must carry the token that is remembered for
+/// it. With the raised one, a worker that has reported it would still execute a late copy.
+#[test]
+fn a_command_carries_the_token_under_which_it_was_chosen() {
+    let mut cluster = Cluster::new();
+    cluster.leader.on_job_record(job_record(), Version(9));
+    cluster.tick();
+    cluster.write_records();
+    cluster.store_version += 1;
+    let version = Version(cluster.store_version);
+    cluster.leader.on_token_claim_begun(RAISED_TOKEN);
+    cluster
+        .leader
+        .on_token_raised(RAISED_TOKEN, version, cluster.now);
+    let tokens: Vec<Term> = cluster
+        .leader
+        .take_actions()
+        .into_iter()
+        .filter_map(|action| match action {
+            Action::SendCommands { fencing_token, .. } => Some(fencing_token),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(tokens, [TERM]);
+}
+
+/// A direct `run` without a response can't be executed any more once the worker has reported a higher token.
+#[test]
+fn a_reported_higher_token_excludes_a_lost_run() {
+    let mut cluster = Cluster::new();
+    cluster.leader.on_job_record(job_record(), Version(9));
+    cluster.tick();
+    cluster.write_records();
+    let (lost, incarnation) = cluster.take_commands();
+    let name = HostName::new(HOST);
+    let unanswered = CommandResult::NoResponse;
+    cluster
+        .leader
+        .on_command_result(&name, incarnation, &lost, unanswered, cluster.now)
+        .expect("the leader still leads");
+    cluster.store_version += 1;
+    let version = Version(cluster.store_version);
+    cluster.leader.on_token_claim_begun(RAISED_TOKEN);
+    cluster
+        .leader
+        .on_token_raised(RAISED_TOKEN, version, cluster.now);
+    let (task, attempt) = run_in(&lost);
+    cluster.report(TERM, AttemptState::Running);
+    let host = cluster.leader.cluster().host(&name).expect("the host");
+    assert!(host.may_run_arrive_late(task, attempt));
+    cluster.report(RAISED_TOKEN, AttemptState::Running);
+    let host = cluster.leader.cluster().host(&name).expect("the host");
+    assert!(!host.may_run_arrive_late(task, attempt));
+}
+
 /// A long list of ended attempts has the token raised soon, so that it does not keep growing and tasks can be started
 /// directly again.
 #[test]
